--- a/api/catalogue/catalogue.go
+++ b/api/catalogue/catalogue.go
@@ -11,6 +11,9 @@
 	Workspaces []Workspace `json:"workspaces"`
 	Services   []Service   `json:"services,omitempty"`
 	Rollouts   []Rollout   `json:"rollouts,omitempty"`
+	// Routes send requests by host and path to services.
+	Routes []Route      `json:"routes,omitempty"`
+	Limits CallerLimits `json:"limits,omitzero"`
 }
 
 // Model is one named model with its versions.
@@ -66,6 +69,8 @@
 	RequestsPerSecond float64 `json:"requests_per_second,omitempty"`
 	// Large workspaces yield to small ones under overload in proportion to Weight. Default 1.
 	Weight float64 `json:"weight,omitempty"`
+	// Rank goes before the rank of routes: 0 is served first. Default nil: the rank of the route.
+	Rank *int `json:"rank,omitempty"`
 }
 
 // Service is a plain service that stands beside the model engines.
@@ -74,6 +79,8 @@
 	Owner string `json:"owner"`
 	// Routes are matched in order; the first match decides. A request that no route matches is not idempotent.
 	Routes []ServiceRoute `json:"routes"`
+	// Pool says what the backend servers bear. Default nil: nothing is stated.
+	Pool *Pool `json:"pool,omitempty"`
 }
 
 // ServiceRoute says which calls of a service may be repeated.
--- a/api/catalogue/diff.go
+++ b/api/catalogue/diff.go
@@ -23,6 +23,10 @@
 	diffNamed(d, "workspace ", before.Workspaces, after.Workspaces, func(w *Workspace) string { return w.Name }, nil)
 	diffNamed(d, "service ", before.Services, after.Services, func(s *Service) string { return s.Name }, nil)
 	diffNamed(d, "rollout ", before.Rollouts, after.Rollouts, func(r *Rollout) string { return r.Model }, nil)
+	diffNamed(d, "route ", before.Routes, after.Routes, func(r *Route) string { return r.Host + r.PathPrefix }, nil)
+	if before.Limits != after.Limits {
+		d.add("limits: changed")
+	}
 	return d.lines
 }
 
--- a/api/catalogue/validate.go
+++ b/api/catalogue/validate.go
@@ -61,6 +61,7 @@
 	for _, w := range c.Workspaces {
 		v.workspace(c, w, keys)
 	}
+	v.routes(c)
 	seen := make(map[string]bool)
 	for _, r := range c.Rollouts {
 		if seen[r.Model] {
--- a/api/control/messages.go
+++ b/api/control/messages.go
@@ -79,6 +79,29 @@
 type Rollouts struct {
 	ModRevision uint64
 	Progress    map[string]RolloutProgress
+	// Services holds the newest roll-out of each service.
+	Services map[string]ServiceRollout
+}
+
+// ServiceRollout moves a service from backend servers of one software version to those of another within a time limit.
+type ServiceRollout struct {
+	Service string `json:"service"`
+	// Order numbers the roll-outs of the service.
+	Order uint64 `json:"order"`
+	To    string `json:"to"`
+	// Seconds is the time limit, counted by the control leader's clock without the time between two leaders.
+	Seconds int          `json:"seconds"`
+	State   RolloutState `json:"state"`
+	// Percent is the share of new sessions and requests for To.
+	Percent int `json:"percent"`
+	// ElapsedMillis is the time that the roll-out had run when it was recorded.
+	ElapsedMillis int64 `json:"elapsed_millis"`
+	// Settled says that sessions may move to To: the first half of the time limit is over.
+	Settled bool   `json:"settled,omitempty"`
+	Reason  string `json:"reason,omitempty"`
+	// RolledBack and Done list the versions that earlier roll-outs ended with, newest last.
+	RolledBack []string `json:"rolled_back,omitempty"`
+	Done       []string `json:"done,omitempty"`
 }
 
 // Quarantine is the section of requests that crash backend servers.
@@ -129,6 +152,17 @@
 	Fencing bool `json:"fencing,omitempty"`
 	// PrefixHashes lists cached prompt prefixes, newest first.
 	PrefixHashes []uint64 `json:"prefix_hashes,omitempty"`
+	// SoftwareVersion is the version of the software of a service's backend server, which roll-outs of services move between.
+	SoftwareVersion string `json:"software_version,omitempty"`
+	// Started is the Unix millisecond of the start, for backend servers that state it: a lower one is an earlier boot.
+	Started int64 `json:"started,omitempty"`
+	// Sequence grows with each announcement of one boot, for backend servers that count them; 0: not counted. One that does
+	// not grow is late and changes nothing.
+	Sequence int64 `json:"sequence,omitempty"`
+	// StatesCold says that the backend server itself states how long it is cold: ColdMillis, 0 when it is warm. The router
+	// then keeps to the rate of the service's pool and the backend server has no ramp.
+	StatesCold bool  `json:"states_cold,omitempty"`
+	ColdMillis int64 `json:"cold_millis,omitempty"`
 }
 
 // BackendServer is one row of the fleet table. Rows are immutable.
@@ -142,6 +176,8 @@
 	// LoadAge is the age of Running and Queued at the time the row was sent.
 	LoadAge time.Duration
 	Reason  string
+	// Deregistered says that this boot left for good, whatever it announces late.
+	Deregistered bool
 	// Number identifies the row within one epoch of the fleet table, so that load reports need not repeat the id.
 	Number uint32
 }
@@ -220,6 +256,8 @@
 	Fleet FleetDelta
 	// Ratings is nil when the sender holds the newest table.
 	Ratings *RatingTable
+	// Replicas are the peer addresses of all control replicas, empty when they are not known.
+	Replicas []string
 	// Leader is the peer address of the control leader, empty when unknown.
 	Leader string
 }
@@ -246,6 +284,11 @@
 	Slow int
 	// FirstTokenMillis is the sum over the attempts without failure, in milliseconds.
 	FirstTokenMillis int64
+	// Service and SoftwareVersion name the pool and the software of the backend server of a routed request.
+	Service         string
+	SoftwareVersion string
+	// DurationMillis is the sum of the times from dispatch to the end over the attempts without failure, in milliseconds.
+	DurationMillis int64
 	// RatingSum and Ratings add up the scores (0 to 1) that the rating service gave; LowRatings counts those under the target.
 	RatingSum  float64
 	Ratings    int
@@ -311,6 +354,15 @@
 type AnnounceRequest struct {
 	Meta
 	Announcements []Announcement
+	// Leaves names backend servers that take no new work from now on and said nothing else.
+	Leaves []Leave
+}
+
+// Leave says that one boot of a backend server stops for good.
+type Leave struct {
+	ID string
+	// Started is the Unix millisecond of its start; 0: the boot that announced itself last.
+	Started int64
 }
 
 // Empty is a reply without content.
--- a/api/control/operator.go
+++ b/api/control/operator.go
@@ -16,6 +16,8 @@
 //	GET  /v1/servers              -> []ServerStatus
 //	GET  /v1/rollouts             -> []RolloutProgress
 //	POST /v1/rollouts/{model}     RolloutOrderRequest -> ChangeReply
+//	GET  /v1/services/{service}/rollout   -> ServiceRollout
+//	POST /v1/services/{service}/rollout   ServiceRolloutRequest -> ChangeReply
 //	GET  /v1/quarantine           -> []QuarantineEntry
 //	POST /v1/quarantine/{fingerprint}/lift  ChangeBase -> ChangeReply
 //	GET  /v1/status               -> StatusReply
@@ -31,12 +33,27 @@
 	RequestID string `json:"request_id"`
 	By        string `json:"by"`
 	DryRun    bool   `json:"dry_run,omitempty"`
+	// Latest applies the change to whatever revision is current, in place of BaseRevision. It suits orders that state a
+	// wanted end, which a resend does not change.
+	Latest bool `json:"latest,omitempty"`
 }
 
 // ApplyCatalogueRequest replaces the whole catalogue.
 type ApplyCatalogueRequest struct {
 	ChangeBase
 	Catalogue catalogue.Catalogue `json:"catalogue"`
+	// Number orders catalogues that come from another system: the highest number is in force, a lower or equal one is
+	// accepted and changes nothing, and base_revision is not looked at. 0: not numbered.
+	Number uint64 `json:"number,omitempty"`
+	// Document is the form in which the other system sent the catalogue, kept for read-back.
+	Document []byte `json:"document,omitempty"`
+}
+
+// ServiceRolloutRequest starts a roll-out of a service.
+type ServiceRolloutRequest struct {
+	ChangeBase
+	To      string `json:"to"`
+	Seconds int    `json:"seconds"`
 }
 
 // OrderRequest takes an availability zone or a backend server out of service or brings it back.
@@ -83,6 +100,9 @@
 	By        string              `json:"by"`
 	At        time.Time           `json:"at"`
 	Catalogue catalogue.Catalogue `json:"catalogue"`
+	// Number and Document are those of the ApplyCatalogueRequest.
+	Number   uint64 `json:"number,omitempty"`
+	Document []byte `json:"document,omitempty"`
 }
 
 // ServerStatus is one backend server as operators see it.
--- /dev/null
+++ b/server/balance/tracker.go
@@ -0,0 +1,252 @@
+package balance
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// observationLife is the age at which a stated load counts half; heartbeats carry no load and answers come about once a
+	// second to each instance.
+	observationLife = 1500 * time.Millisecond
+	// partLife is how long a part is taken to stay in an engine's memory after it was last read there.
+	partLife = 10 * time.Second
+	// maxParts bounds the parts that are remembered of one backend server.
+	maxParts = 512
+	// maxServers bounds the backend servers that are remembered; the design has 600.
+	maxServers = 2000
+	// doubtBase is how long a backend server is avoided after one failure; it doubles with each further one in a row, up to
+	// maxDoubt.
+	doubtBase = 500 * time.Millisecond
+	maxDoubt  = 4 * time.Second
+	// silentAfter is the age of the last announcement from which on a backend server is doubted: three announcements are
+	// missing then.
+	silentAfter = 4 * time.Second
+	// latencyWeight is the share of one answer in the running mean of the time to the first byte.
+	latencyWeight = 0.2
+	// minLatencies is the number of answers before slowness is judged.
+	minLatencies = 5
+)
+
+// Row is what the fleet table says of a backend server.
+type Row struct {
+	ID, Zone string
+	Slots    int
+	// Heard is how long ago the last announcement was sent on.
+	Heard time.Duration
+	// ColdFor is how long it stays cold, 0 when it is warm.
+	ColdFor time.Duration
+}
+
+// Tracker keeps what this entry instance learned of backend servers. It is safe for concurrent use.
+type Tracker struct {
+	mu      sync.Mutex // guards the fields below
+	servers map[string]*server
+}
+
+type server struct {
+	running int
+	tokens  int
+	seen    Observation
+	// ownSeen is running at the time of seen.
+	ownSeen  int
+	failures int
+	doubted  time.Time
+	latency  float64 // milliseconds, running mean
+	answers  int
+	parts    map[string]time.Time
+	cold     bucket
+	used     time.Time
+}
+
+// NewTracker returns an empty tracker.
+func NewTracker() *Tracker { return &Tracker{servers: map[string]*server{}} }
+
+func (t *Tracker) get(id string, now time.Time) *server {
+	s := t.servers[id]
+	if s == nil {
+		if len(t.servers) >= maxServers {
+			t.dropOldest()
+		}
+		s = &server{parts: map[string]time.Time{}}
+		t.servers[id] = s
+	}
+	s.used = now
+	return s
+}
+
+func (t *Tracker) dropOldest() {
+	oldest := ""
+	for _, id := range sortedKeys(t.servers) {
+		if s := t.servers[id]; s.running == 0 && (oldest == "" || s.used.Before(t.servers[oldest].used)) {
+			oldest = id
+		}
+	}
+	delete(t.servers, oldest)
+}
+
+// Candidates returns the rows with what is known of each. cold is the rate of requests a second that this instance may send
+// to one cold backend server; 0 when there is no bound.
+func (t *Tracker) Candidates(now time.Time, rows []Row, r *Request, cold float64) []Candidate {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]Candidate, 0, len(rows))
+	mean := t.meanLatency(now, rows)
+	for _, row := range rows {
+		s := t.get(row.ID, now)
+		c := Candidate{ID: row.ID, Zone: row.Zone, Load: s.load(now, row.Slots), Slowness: 1, CachedTokens: s.cached(now, r)}
+		if row.ColdFor > 0 && cold > 0 {
+			c.Cold, c.ColdReady = true, s.cold.ready(now, cold)
+		}
+		if now.Before(s.doubted) || row.Heard > silentAfter {
+			c.Doubt = 1
+		}
+		if s.answers >= minLatencies && mean > 0 {
+			c.Slowness = max(s.latency/mean, 1)
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
+// meanLatency is the mean over the servers that answered often enough, without the slowest one.
+func (t *Tracker) meanLatency(now time.Time, rows []Row) float64 {
+	sum, slowest, n := 0.0, 0.0, 0
+	for _, row := range rows {
+		if s := t.get(row.ID, now); s.answers >= minLatencies {
+			sum += s.latency
+			slowest = max(slowest, s.latency)
+			n++
+		}
+	}
+	if n < 2 {
+		return 0
+	}
+	return (sum - slowest) / float64(n-1)
+}
+
+// load estimates the share of the slots in use: what the server stated last, fading out, and what was sent since.
+func (s *server) load(now time.Time, slots int) float64 {
+	if s.seen.Slots > 0 {
+		slots = s.seen.Slots
+	}
+	own := float64(s.running)
+	if s.seen.At.IsZero() {
+		return own / float64(max(slots, 1))
+	}
+	age := now.Sub(s.seen.At)
+	weight := float64(observationLife) / float64(observationLife+age)
+	others := max(float64(s.seen.Running+s.seen.Waiting-s.ownSeen), 0)
+	return (own + others*weight) / float64(max(slots, 1))
+}
+
+// cached returns the number of tokens at the beginning of the prompt that this server has read lately.
+func (s *server) cached(now time.Time, r *Request) int {
+	tokens := 0
+	for _, p := range r.Parts {
+		at, ok := s.parts[r.Model+"/"+p.ID]
+		if !ok || now.Sub(at) > partLife {
+			break
+		}
+		tokens += p.Tokens
+	}
+	return tokens
+}
+
+// Sent notes that a request goes to the backend server. done must be called once when it has ended there.
+func (t *Tracker) Sent(now time.Time, id string, r *Request, cold float64) (done func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.get(id, now)
+	s.running++
+	s.tokens += r.PromptTokens
+	if cold > 0 {
+		s.cold.take(now, cold)
+	}
+	s.remember(now, r)
+	var once sync.Once
+	return func() {
+		once.Do(func() {
+			t.mu.Lock()
+			defer t.mu.Unlock()
+			s.running--
+			s.tokens -= r.PromptTokens
+		})
+	}
+}
+
+func (s *server) remember(now time.Time, r *Request) {
+	if len(s.parts)+len(r.Parts) > maxParts {
+		for id, at := range s.parts {
+			if now.Sub(at) > partLife/2 {
+				delete(s.parts, id)
+			}
+		}
+		if len(s.parts)+len(r.Parts) > maxParts {
+			clear(s.parts)
+		}
+	}
+	for _, p := range r.Parts {
+		s.parts[r.Model+"/"+p.ID] = now
+	}
+}
+
+// Observe notes the load that an answer stated.
+func (t *Tracker) Observe(id string, o Observation) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.get(id, o.At)
+	s.seen, s.ownSeen = o, s.running
+}
+
+// Answered notes the time from dispatch to the first byte of an answer.
+func (t *Tracker) Answered(now time.Time, id string, first time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.get(id, now)
+	s.failures = 0
+	ms := float64(first.Milliseconds())
+	if s.answers++; s.answers == 1 {
+		s.latency = ms
+		return
+	}
+	s.latency += latencyWeight * (ms - s.latency)
+}
+
+// Failed notes an attempt that the backend server failed. It is avoided for a while.
+func (t *Tracker) Failed(now time.Time, id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.get(id, now)
+	s.doubted = now.Add(min(doubtBase<<min(s.failures, 8), maxDoubt))
+	s.failures++
+}
+
+// Forget drops what was read by a backend server that has started again.
+func (t *Tracker) Forget(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.servers[id]; s != nil {
+		clear(s.parts)
+		s.failures, s.answers = 0, 0
+	}
+}
+
+// bucket allows a rate with a burst of one request.
+type bucket struct{ next time.Time }
+
+func (b *bucket) ready(now time.Time, _ float64) bool { return !now.Before(b.next) }
+
+func (b *bucket) take(now time.Time, rate float64) {
+	b.next = now.Add(time.Duration(float64(time.Second) / rate))
+}
+
+// ColdRate returns the rate at which one of n entry instances may send to a cold backend server that bears perSecond
+// requests a second over all of them. Each instance may send one request at once, so n of them can meet in one second
+// beside the rate; overshoot and slack are what the server bears beyond its rate in any one second.
+func ColdRate(perSecond float64, n int) float64 {
+	return coldShare * perSecond / float64(max(n, 1))
+}
+
+// coldShare leaves room for the one request that each instance may send at once.
+const coldShare = 0.8
--- a/server/cmd/clementinetray/main.go
+++ b/server/cmd/clementinetray/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/alexflint/go-arg"
 
+	"clementinetray/platform"
 	"clementinetray/server/daemon"
 	"clementinetray/server/settings"
 )
@@ -34,6 +35,9 @@
 	exitRefused = 2
 )
 
+// adapters holds the adapters that are built in, by the name in the settings.
+var adapters = map[string]daemon.Adapter{"": nil, platform.Name: platform.Adapter{}}
+
 func main() {
 	var args arguments
 	parser := arg.MustParse(&args)
@@ -68,7 +72,12 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := daemon.Run(ctx, s); err != nil {
+	adapter, known := adapters[s.Adapter]
+	if !known {
+		fmt.Fprintf(os.Stderr, "%s: [platform] adapter = %q: no such adapter is built in\n", file, s.Adapter)
+		return exitRefused
+	}
+	if err := daemon.Run(ctx, s, adapter); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
--- a/server/controlclient/client.go
+++ b/server/controlclient/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net/rpc"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -23,13 +24,15 @@
 // Client talks to the control group.
 type Client struct {
 	pool     *peer.Pool
-	replicas []string
+	seeds    []string
 	identity Identity
 	clock    *event.Clock
 
-	mu     sync.Mutex // guards sticky and leader
+	mu     sync.Mutex // guards the fields below
 	sticky int
 	leader string
+	// replicas are the seeds and the replicas of the last reply.
+	replicas []string
 }
 
 var _ control.Client = (*Client)(nil)
@@ -43,7 +46,7 @@
 
 // New returns a client for the control replicas at the given peer addresses.
 func New(pool *peer.Pool, replicas []string, identity Identity, clock *event.Clock) *Client {
-	return &Client{pool: pool, replicas: replicas, identity: identity, clock: clock}
+	return &Client{pool: pool, seeds: replicas, replicas: replicas, identity: identity, clock: clock}
 }
 
 func (c *Client) meta() control.Meta {
@@ -54,15 +57,13 @@
 func (c *Client) Sync(ctx context.Context, in *control.SyncRequest) (*control.SyncReply, error) {
 	in.Meta = c.meta()
 	var last error
-	for range c.replicas {
-		c.mu.Lock()
-		index := c.sticky % len(c.replicas)
-		c.mu.Unlock()
+	for range c.known() {
 		out := &control.SyncReply{}
-		last = c.attempt(ctx, c.replicas[index], "Control.Sync", in, out)
+		last = c.attempt(ctx, c.current(), "Control.Sync", in, out)
 		if last == nil {
 			c.clock.Observe(out.Stamp)
 			c.setLeader(out.Leader)
+			c.learn(out.Replicas)
 			return out, nil
 		}
 		if ctx.Err() != nil {
@@ -80,6 +81,58 @@
 	c.sticky = (c.sticky + 1) % len(c.replicas)
 }
 
+// known returns how many replicas are known.
+func (c *Client) known() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.replicas)
+}
+
+// current returns the replica that the next Sync asks.
+func (c *Client) current() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.replicas[c.sticky%len(c.replicas)]
+}
+
+// learn takes the replicas of a reply in place of those known before. The seeds stay, as the group may forget a replica
+// that is the only one in reach.
+func (c *Client) learn(replicas []string) {
+	if len(replicas) == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	current := c.replicas[c.sticky%len(c.replicas)]
+	next := slices.Clone(replicas)
+	for _, seed := range c.seeds {
+		if !slices.Contains(next, seed) {
+			next = append(next, seed)
+		}
+	}
+	c.replicas = next
+	c.sticky = max(slices.Index(next, current), 0)
+}
+
+// Replicas returns the peer addresses of the replicas that are known.
+func (c *Client) Replicas() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.replicas
+}
+
+// SetSeeds replaces the replicas that the settings name.
+func (c *Client) SetSeeds(seeds []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seeds = seeds
+	for _, seed := range seeds {
+		if !slices.Contains(c.replicas, seed) {
+			c.replicas = append(slices.Clone(c.replicas), seed)
+		}
+	}
+}
+
 func (c *Client) setLeader(address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/server/controlstate/changes.go
+++ b/server/controlstate/changes.go
@@ -19,6 +19,8 @@
 	diff    []string
 	apply   func()
 	err     error
+	// unchanged says that the wanted end is in force already, or that a later change overtook this one.
+	unchanged bool
 }
 
 // change executes an operator's command: a known request id gets its first result, a stale base revision a conflict.
@@ -58,7 +60,10 @@
 			return &ChangeResult{ChangeReply: reply}, nil
 		}
 	}
-	if p.base.BaseRevision != s.configRevision {
+	if p.unchanged && p.err == nil {
+		return &ChangeResult{ChangeReply: control.ChangeReply{Revision: s.configRevision, Repeated: true}}, nil
+	}
+	if p.base.BaseRevision != s.configRevision && !p.base.Latest {
 		return &ChangeResult{Conflict: s.conflict(p.base.BaseRevision)}, nil
 	}
 	return nil, p.err
@@ -128,6 +133,8 @@
 		p = s.planRollout(c.SetRollout)
 	case c.LiftQuarantine != nil:
 		p = s.planLift(c.LiftQuarantine)
+	case c.StartServiceRollout != nil:
+		p = s.planServiceRollout(c.StartServiceRollout)
 	default:
 		p.err = Error.New("the command is not an operator's change")
 	}
@@ -137,7 +144,13 @@
 
 func (s *State) planCatalogue(c *ApplyCatalogue) plan {
 	next := &c.Catalogue
-	p := plan{base: c.ChangeBase, kind: ChangeCatalogue, content: contentOf("catalogue", next)}
+	p := plan{base: c.ChangeBase, kind: ChangeCatalogue, content: contentOf("catalogue", next, c.Number)}
+	if c.Number > 0 {
+		p.base.Latest = true
+		if p.unchanged = c.Number <= s.currentCatalogue().Number; p.unchanged {
+			return p
+		}
+	}
 	p.diff = catalogue.Diff(s.currentCatalogue().Catalogue, next)
 	kept := map[string]control.RolloutProgress{}
 	for _, model := range slices.Sorted(maps.Keys(s.rollouts.Progress)) {
@@ -151,9 +164,12 @@
 	}
 	p.apply = func() {
 		s.catalogueMod = s.revision
-		s.catalogues = keepLast(append(s.catalogues, CatalogueRevision{s.configRevision, c.By, s.time(), next}), KeptCatalogues)
+		s.catalogues[len(s.catalogues)-1].Document = nil
+		s.catalogues = keepLast(append(s.catalogues, CatalogueRevision{
+			Revision: s.configRevision, By: c.By, At: s.time(), Catalogue: next, Number: c.Number, Document: c.Document,
+		}), KeptCatalogues)
 		if len(kept) != len(s.rollouts.Progress) {
-			s.rollouts = &control.Rollouts{ModRevision: s.revision, Progress: kept}
+			s.rollouts = &control.Rollouts{ModRevision: s.revision, Progress: kept, Services: s.rollouts.Services}
 		}
 	}
 	return p
@@ -177,6 +193,7 @@
 		p.kind = out
 	}
 	_, wasOut := target[name]
+	p.unchanged = p.base.Latest && wasOut == c.Out
 	line := fmt.Sprintf("%s %s: %s -> %s", kind, name, inOut(wasOut), inOut(c.Out))
 	if c.Reason != "" {
 		line += fmt.Sprintf(" (%s)", c.Reason)
@@ -241,7 +258,7 @@
 func (s *State) putRollout(p control.RolloutProgress) {
 	progress := maps.Clone(s.rollouts.Progress)
 	progress[p.Model] = p
-	s.rollouts = &control.Rollouts{ModRevision: s.revision, Progress: progress}
+	s.rollouts = &control.Rollouts{ModRevision: s.revision, Progress: progress, Services: s.rollouts.Services}
 }
 
 // advanceRollout executes a command of the rollout controller.
--- a/server/controlstate/command.go
+++ b/server/controlstate/command.go
@@ -20,18 +20,22 @@
 	// At is the proposer's wall clock; the state machine uses the largest At seen so far as its time.
 	At time.Time
 
-	ApplyCatalogue *ApplyCatalogue             `json:",omitempty"`
-	SetOrder       *SetOrder                   `json:",omitempty"`
-	SetRollout     *SetRollout                 `json:",omitempty"`
-	LiftQuarantine *LiftQuarantine             `json:",omitempty"`
-	SetPhase       *SetPhase                   `json:",omitempty"`
-	NextFence      *NextFence                  `json:",omitempty"`
-	PinSession     *control.PinRequest         `json:",omitempty"`
-	BeginCalls     []control.BeginCallRequest  `json:",omitempty"`
-	FinishCalls    []control.FinishCallRequest `json:",omitempty"`
-	InstanceGone   *InstanceGone               `json:",omitempty"`
-	RecordBills    *control.RecordBillsRequest `json:",omitempty"`
-	ReportCrash    *control.ReportCrashRequest `json:",omitempty"`
+	ApplyCatalogue *ApplyCatalogue `json:",omitempty"`
+	SetOrder       *SetOrder       `json:",omitempty"`
+	SetRollout     *SetRollout     `json:",omitempty"`
+	LiftQuarantine *LiftQuarantine `json:",omitempty"`
+
+	StartServiceRollout   *StartServiceRollout   `json:",omitempty"`
+	AdvanceServiceRollout *AdvanceServiceRollout `json:",omitempty"`
+
+	SetPhase     *SetPhase                   `json:",omitempty"`
+	NextFence    *NextFence                  `json:",omitempty"`
+	PinSession   *control.PinRequest         `json:",omitempty"`
+	BeginCalls   []control.BeginCallRequest  `json:",omitempty"`
+	FinishCalls  []control.FinishCallRequest `json:",omitempty"`
+	InstanceGone *InstanceGone               `json:",omitempty"`
+	RecordBills  *control.RecordBillsRequest `json:",omitempty"`
+	ReportCrash  *control.ReportCrashRequest `json:",omitempty"`
 	// BillBatches may stand beside BeginCalls and FinishCalls in one command: the leader joins what arrives while a
 	// proposal is in flight. The result of such a command is BatchResult.
 	BillBatches []control.RecordBillsRequest `json:",omitempty"`
@@ -41,6 +45,9 @@
 type ApplyCatalogue struct {
 	control.ChangeBase
 	Catalogue catalogue.Catalogue
+	// Number and Document are those of control.ApplyCatalogueRequest.
+	Number   uint64
+	Document []byte
 }
 
 // SetOrder takes an availability zone or a backend server out of service or brings it back. Its result is ChangeResult.
@@ -61,6 +68,18 @@
 	Progress control.RolloutProgress
 }
 
+// StartServiceRollout orders a roll-out of a service. Its result is ChangeResult.
+type StartServiceRollout struct {
+	control.ChangeBase
+	Service string
+	To      string
+	Seconds int
+}
+
+// AdvanceServiceRollout records the progress of a roll-out of a service. A command whose order is not the newest one, or
+// of a roll-out that has ended, changes nothing. Its result is nil.
+type AdvanceServiceRollout struct{ Progress control.ServiceRollout }
+
 // LiftQuarantine forgets the crashes of a fingerprint. Its result is ChangeResult.
 type LiftQuarantine struct {
 	control.ChangeBase
--- a/server/controlstate/snapshot.go
+++ b/server/controlstate/snapshot.go
@@ -29,6 +29,7 @@
 	ServersOut     []named[control.Order]
 	RolloutsMod    uint64
 	Progress       []named[control.RolloutProgress]
+	ServiceRollout []named[control.ServiceRollout]
 	QuarantineMod  uint64
 	Phases         []named[PhaseRecord]
 	Fence          Fence
@@ -114,7 +115,8 @@
 		CatalogueMod: s.catalogueMod, Catalogues: s.catalogues, Changes: s.changes,
 		OrdersMod: s.orders.ModRevision, ZonesOut: sorted(s.orders.ZonesOut), ServersOut: sorted(s.orders.ServersOut),
 		RolloutsMod: s.rollouts.ModRevision, Progress: sorted(s.rollouts.Progress),
-		QuarantineMod: s.quarantine.ModRevision, Phases: sorted(s.phases), Fence: s.fence,
+		ServiceRollout: sorted(s.rollouts.Services),
+		QuarantineMod:  s.quarantine.ModRevision, Phases: sorted(s.phases), Fence: s.fence,
 		Results:     save(s.results),
 		Sessions:    pack(s.sessions, sessionCodec),
 		Calls:       pack(s.calls.records, callCodec),
@@ -161,7 +163,7 @@
 	s.orders = &control.Orders{
 		ModRevision: img.OrdersMod, ZonesOut: unsorted(img.ZonesOut), ServersOut: unsorted(img.ServersOut),
 	}
-	s.rollouts = &control.Rollouts{ModRevision: img.RolloutsMod, Progress: unsorted(img.Progress)}
+	s.rollouts = &control.Rollouts{ModRevision: img.RolloutsMod, Progress: unsorted(img.Progress), Services: unsorted(img.ServiceRollout)}
 	s.phases, s.fence = unsorted(img.Phases), img.Fence
 	s.results, s.sessions, s.calls, s.bills, s.crashes = next.results, next.sessions, next.calls, next.bills, next.crashes
 	s.bills.totals, s.bills.count = unsorted(img.Totals), img.BillCount
--- a/server/controlstate/state.go
+++ b/server/controlstate/state.go
@@ -67,6 +67,9 @@
 	By        string
 	At        time.Time
 	Catalogue *catalogue.Catalogue
+	// Number and Document are those of control.ApplyCatalogueRequest. Documents of earlier revisions are not kept.
+	Number   uint64
+	Document []byte
 }
 
 // Change is one accepted operator change.
@@ -92,6 +95,7 @@
 	ChangeServerOut      ChangeKind = "server_out"
 	ChangeServerIn       ChangeKind = "server_in"
 	ChangeRollout        ChangeKind = "rollout_ordered"
+	ChangeServiceRollout ChangeKind = "service_rollout_ordered"
 	ChangeQuarantineLift ChangeKind = "quarantine_lifted"
 )
 
@@ -166,7 +170,7 @@
 	s.catalogues = []CatalogueRevision{{Catalogue: &catalogue.Catalogue{}}}
 	s.changes = nil
 	s.orders = &control.Orders{ModRevision: 1, ZonesOut: map[string]control.Order{}, ServersOut: map[string]control.Order{}}
-	s.rollouts = &control.Rollouts{ModRevision: 1, Progress: map[string]control.RolloutProgress{}}
+	s.rollouts = &control.Rollouts{ModRevision: 1, Progress: map[string]control.RolloutProgress{}, Services: map[string]control.ServiceRollout{}}
 	s.quarantine = &control.Quarantine{ModRevision: 1, Crashes: map[string]int{}}
 	s.phases = map[string]PhaseRecord{}
 	s.fence = Fence{}
@@ -294,8 +298,11 @@
 
 func (s *State) execute(index uint64, c *Command) any {
 	switch {
-	case c.ApplyCatalogue != nil, c.SetOrder != nil, c.LiftQuarantine != nil:
+	case c.ApplyCatalogue != nil, c.SetOrder != nil, c.LiftQuarantine != nil, c.StartServiceRollout != nil:
 		return s.change(c)
+	case c.AdvanceServiceRollout != nil:
+		s.advanceServiceRollout(c.AdvanceServiceRollout.Progress)
+		return nil
 	case c.SetRollout != nil && c.SetRollout.RequestID != "":
 		return s.change(c)
 	case c.SetRollout != nil:
--- a/server/controlsvc/contract.go
+++ b/server/controlsvc/contract.go
@@ -44,6 +44,8 @@
 	// change does not leave entry instances without backend servers.
 	Reset(now time.Time, epoch string)
 	Announce(now time.Time, a control.Announcement) error
+	// Leave marks one boot of a backend server as leaving for good.
+	Leave(now time.Time, l control.Leave)
 	Heartbeat(now time.Time, m control.Member, leaving bool)
 	// SetPhase sets the phase of a backend server; it does nothing when the boot is no longer the announced one.
 	SetPhase(now time.Time, id, boot string, phase control.Phase, limit int, reason string)
--- a/server/controlsvc/operator.go
+++ b/server/controlsvc/operator.go
@@ -35,6 +35,19 @@
 	forwardTimeout = 10 * time.Second
 )
 
+// CallOperatorAPI calls the operator API from inside the process and returns status and body, for an adapter that has a
+// listener of its own. A follower passes the request on to the leader.
+func (s *Service) CallOperatorAPI(ctx context.Context, method, target string, body []byte) (int, []byte) {
+	r, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		s.Logger.Error("operator call not built", "target", target, "error", err)
+		return http.StatusInternalServerError, nil
+	}
+	w := &replyWriter{header: http.Header{}, status: http.StatusOK}
+	s.leaderOnly(w, r)
+	return w.status, w.body.Bytes()
+}
+
 // OperatorHandler returns the operator API (see package control). Operators authenticate by a bearer token whose SHA-256, in
 // lower-case hexadecimal, is in tokenSHA256. A follower passes requests on to the leader.
 func (s *Service) OperatorHandler(tokenSHA256 []string) http.Handler {
@@ -73,6 +86,8 @@
 	r.Get("/v1/servers", s.getServers)
 	r.Get("/v1/rollouts", s.getRollouts)
 	r.Post("/v1/rollouts/{model}", s.postRollout)
+	r.Get("/v1/services/{service}/rollout", s.getServiceRollout)
+	r.Post("/v1/services/{service}/rollout", s.postServiceRollout)
 	r.Get("/v1/quarantine", s.getQuarantine)
 	r.Post("/v1/quarantine/{fingerprint}/lift", s.postLift)
 	r.Get("/v1/status", s.getStatus)
@@ -219,7 +234,9 @@
 	c := s.State.Catalogue()
 	// The reply names the configuration revision, which is what the next change must be based on.
 	revision := s.State.View().ConfigRevision
-	writeJSON(w, control.CatalogueReply{Revision: revision, By: c.By, At: c.At, Catalogue: *c.Catalogue})
+	writeJSON(w, control.CatalogueReply{
+		Revision: revision, By: c.By, At: c.At, Catalogue: *c.Catalogue, Number: c.Number, Document: c.Document,
+	})
 }
 
 // getOldCatalogue answers with the catalogue that was in force at a revision, as long as it is kept.
@@ -250,7 +267,9 @@
 		p.Write(w)
 		return
 	}
-	change := &controlstate.ApplyCatalogue{ChangeBase: in.ChangeBase, Catalogue: in.Catalogue}
+	change := &controlstate.ApplyCatalogue{
+		ChangeBase: in.ChangeBase, Catalogue: in.Catalogue, Number: in.Number, Document: in.Document,
+	}
 	s.change(w, r, in.ChangeBase, &controlstate.Command{ApplyCatalogue: change}, nil)
 }
 
@@ -282,6 +301,18 @@
 	s.change(w, r, in.ChangeBase, c, nil)
 }
 
+func (s *Service) postServiceRollout(w http.ResponseWriter, r *http.Request) {
+	in := control.ServiceRolloutRequest{}
+	if p := decodeJSON(r, &in); p != nil {
+		p.Write(w)
+		return
+	}
+	start := &controlstate.StartServiceRollout{
+		ChangeBase: in.ChangeBase, Service: chi.URLParam(r, "service"), To: in.To, Seconds: in.Seconds,
+	}
+	s.change(w, r, in.ChangeBase, &controlstate.Command{StartServiceRollout: start}, nil)
+}
+
 func (s *Service) postLift(w http.ResponseWriter, r *http.Request) {
 	in := control.ChangeBase{}
 	if p := decodeJSON(r, &in); p != nil {
@@ -303,6 +334,10 @@
 		return
 	}
 	result, err := s.State.DryRun(c)
+	if err == nil && result.Repeated {
+		// The first copy of the change may be committed and not copied far enough yet.
+		err = s.awaitCopies(r.Context())
+	}
 	if err != nil || result.Conflict != nil || result.Repeated {
 		s.answerChange(w, result, err)
 		return
@@ -322,6 +357,9 @@
 	if err == nil && !ok {
 		err = Error.New("a change got the result %T", committed)
 	}
+	if err == nil {
+		err = s.awaitCopies(r.Context())
+	}
 	s.answerChange(w, result, err)
 	if err != nil || result.Conflict != nil || result.Repeated {
 		s.Logger.Warn("operator change not made", "path", r.URL.Path, "by", base.By, "request_id", base.RequestID,
--- a/server/controlsvc/operator_reads.go
+++ b/server/controlsvc/operator_reads.go
@@ -12,6 +12,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-chi/chi/v5"
+
 	"clementinetray/api/catalogue"
 	"clementinetray/api/control"
 	"clementinetray/api/event"
@@ -56,6 +58,18 @@
 	writeJSON(w, list)
 }
 
+func (s *Service) getServiceRollout(w http.ResponseWriter, r *http.Request) {
+	if !s.read(w, r) {
+		return
+	}
+	rollout, ok := s.State.View().Rollouts.Services[chi.URLParam(r, "service")]
+	if !ok {
+		problem.New(problem.NotFound, "the service has had no roll-out").Write(w)
+		return
+	}
+	writeJSON(w, rollout)
+}
+
 func (s *Service) getQuarantine(w http.ResponseWriter, r *http.Request) {
 	if s.read(w, r) {
 		writeJSON(w, s.State.QuarantineEntries())
--- a/server/controlsvc/rpc.go
+++ b/server/controlsvc/rpc.go
@@ -28,6 +28,9 @@
 	if l.Leader {
 		out.Leader = s.PeerAddress
 	}
+	for _, m := range s.Log.Status().Members {
+		out.Replicas = append(out.Replicas, m.Address)
+	}
 	out.FreshAge = unknownAge
 	if known {
 		out.FreshAge = age + s.Now().Sub(started)
@@ -150,6 +153,9 @@
 			s.Logger.Warn("announcement refused", "backend_server", a.ID, "boot", a.Boot, "from", in.Instance, "error", err)
 		}
 	}
+	for _, l := range in.Leaves {
+		s.FleetTable.Leave(now, l)
+	}
 	out.Meta = s.meta()
 	return nil
 }
--- a/server/controlsvc/service.go
+++ b/server/controlsvc/service.go
@@ -59,7 +59,9 @@
 	Identity controlclient.Identity
 	// PeerAddress is this process's own peer address, as the other replicas know it.
 	PeerAddress string
-	Logger      *slog.Logger
+	// ToleratedLosses is the number of data folders that may be lost at once without the loss of a confirmed change.
+	ToleratedLosses int
+	Logger          *slog.Logger
 	// Now is the clock. Default time.Now.
 	Now func() time.Time
 }
--- a/server/daemon/container.go
+++ b/server/daemon/container.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"log/slog"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/google/uuid"
@@ -27,10 +28,11 @@
 )
 
 // newContainer returns the container with everything that each role needs.
-func newContainer(s *settings.Settings) (*dig.Container, error) {
+func newContainer(s *settings.Settings, adapter Adapter) (*dig.Container, error) {
 	c := dig.New()
 	constructors := []any{
 		func() *settings.Settings { return s },
+		func() Adapter { return adapter },
 		newLogger, newIdentity, newSecret, newPool, newPeerServer, newRing, newRegistry, newClient, newMember,
 		blackboard.New,
 		func() *event.Clock { return &event.Clock{} },
@@ -48,7 +50,7 @@
 }
 
 func newLogger(s *settings.Settings) *slog.Logger {
-	handler := slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: s.LogLevel, ReplaceAttr: shortError})
+	handler := slog.NewTextHandler(os.Stdout, &slog.HandlerOptions{Level: s.LogLevel, ReplaceAttr: shortError})
 	return slog.New(handler).With("instance", s.InstanceID)
 }
 
@@ -60,6 +62,16 @@
 	return a
 }
 
+// memoryShare is the part of the process's memory that the runtime may use before it collects at any price; the rest is for
+// stacks of threads and bytes in the kernel.
+const memoryShare = 0.7
+
+func limitMemory(s *settings.Settings) {
+	if s.MemoryLimitMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryLimitMB<<20)))
+	}
+}
+
 func newIdentity(s *settings.Settings) controlclient.Identity {
 	return controlclient.Identity{Instance: s.InstanceID, Boot: uuid.NewString()}
 }
@@ -68,6 +80,9 @@
 type secret []byte
 
 func newSecret(s *settings.Settings) (secret, error) {
+	if s.PeerAuthentication == "network" {
+		return nil, nil
+	}
 	raw, err := os.ReadFile(s.PeerSecretFile)
 	if err != nil {
 		return nil, Error.Wrap(err)
--- a/server/daemon/control.go
+++ b/server/daemon/control.go
@@ -38,15 +38,16 @@
 }
 
 func newReplica(
-	s *settings.Settings, pool *peer.Pool, server *peer.Server, state *controlstate.State, logger *slog.Logger,
-	recorder event.Recorder, clock *event.Clock,
+	s *settings.Settings, pool *peer.Pool, server *peer.Server, state *controlstate.State, client *controlclient.Client,
+	logger *slog.Logger, recorder event.Recorder, clock *event.Clock,
 ) (*replica.Replica, error) {
 	members := make(map[string]string, len(s.Replicas))
 	for _, r := range s.Replicas {
 		members[r.ID] = r.Address
 	}
 	return replica.Start(replica.Config{
-		ID: s.InstanceID, Address: s.PeerAdvertise, Members: members, Bootstrap: s.Bootstrap, DataDir: s.DataDir,
+		ID: s.ReplicaID(), Address: s.PeerAdvertise, Members: members, Bootstrap: s.Bootstrap, DataDir: s.DataDir,
+		GroupSize: s.GroupSize(), Peers: client.Replicas,
 		Pool: pool, Server: server, StateMachine: state, Logger: logger, Recorder: recorder, Clock: clock,
 	})
 }
@@ -118,5 +119,6 @@
 		OutcomeSinks:      []controlsvc.OutcomeSink{lives, rollouts, quality},
 		LeaderControllers: []controlsvc.LeaderController{lives, rollouts, quality, orders},
 		Recorder:          recorder, Clock: clock, Peers: pool, Identity: identity, PeerAddress: s.PeerAdvertise, Logger: logger,
+		ToleratedLosses: s.ToleratedLosses,
 	})
 }
--- a/server/daemon/daemon.go
+++ b/server/daemon/daemon.go
@@ -33,8 +33,12 @@
 const stopTimeout = 5 * time.Second
 
 // Run runs the process until ctx ends, then drains and stops it. It returns an error when a part can't start or fails.
-func Run(ctx context.Context, s *settings.Settings) error {
-	container, err := newContainer(s)
+func Run(ctx context.Context, s *settings.Settings, adapter Adapter) error {
+	if adapter == nil {
+		adapter = noAdapter{}
+	}
+	limitMemory(s)
+	container, err := newContainer(s, adapter)
 	if err != nil {
 		return err
 	}
@@ -59,6 +63,7 @@
 type parts struct {
 	dig.In
 	Settings *settings.Settings
+	Adapter  Adapter
 	Logger   *slog.Logger
 	Recorder event.Recorder
 	Peers    *peer.Server
@@ -164,9 +169,11 @@
 	d.Logger.Info("stopping")
 	d.Recorder.Record(event.Event{Kind: "process_stopping", AvailabilityZone: d.Settings.AvailabilityZone})
 	if d.handler != nil {
-		if err := d.handler.Drain(context.Background()); err != nil {
+		limit, done := d.drainLimit()
+		if err := d.handler.Drain(limit); err != nil {
 			d.Logger.Warn("drain failed", "error", err)
 		}
+		done()
 	}
 	ctx, done := context.WithTimeout(context.Background(), stopTimeout)
 	defer done()
@@ -189,6 +196,17 @@
 	d.Logger.Info("stopped")
 }
 
+// drainLimit ends the wait for open requests early enough for the rest of the stop.
+func (d *daemon) drainLimit() (context.Context, context.CancelFunc) {
+	if d.Settings.StopGrace == 0 {
+		return context.Background(), func() {}
+	}
+	return context.WithTimeout(context.Background(), d.Settings.StopGrace-stopReserve)
+}
+
+// stopReserve is the part of the grace of a stop that closing the listeners and the last heartbeat may take.
+const stopReserve = 700 * time.Millisecond
+
 func (d *daemon) stopReplica(ctx context.Context) {
 	if d.replica == nil {
 		return
--- a/server/daemon/entry.go
+++ b/server/daemon/entry.go
@@ -32,7 +32,7 @@
 func newEstimator() *ratings.Estimator { return ratings.NewEstimator() }
 
 func newEntryHandler(
-	s *settings.Settings, identity controlclient.Identity, board *blackboard.Board, client control.Client, holder *limits.Holder,
+	s *settings.Settings, adapter Adapter, identity controlclient.Identity, board *blackboard.Board, client control.Client, holder *limits.Holder,
 	estimator *ratings.Estimator, recorder event.Recorder, registerer prometheus.Registerer, logger *slog.Logger,
 ) (*entry.Handler, error) {
 	return entry.New(entry.Config{
@@ -41,10 +41,17 @@
 		Router: entry.RouterFuncs{Version: routing.ChooseVersion, Server: routing.ChooseServer},
 		Limits: holder, Budget: retry.NewBudget(), Recorder: recorder, Registerer: registerer, Log: logger,
 		RatingURL: s.RatingURL, OnRating: observe(estimator),
+		Dialect: adapter.Dialect(), ServeLeaving: servesLeaving(s),
 		MaxViewAge: s.MaxViewAge, MaxBody: int64(s.MaxBodyBytes), RequestLimit: s.RequestTimeLimit,
 	})
 }
 
+// leavingShare is the part of the grace of a stop, in percent, in which new requests are still served: a load balancer that
+// asks each second and wants two misses needs up to 3 s of 8.
+const leavingShare = 45
+
+func servesLeaving(s *settings.Settings) time.Duration { return s.StopGrace * leavingShare / 100 }
+
 func observe(estimator *ratings.Estimator) func(string, catalogue.VersionRef, float64, bool) {
 	return func(class string, version catalogue.VersionRef, score float64, ok bool) {
 		if !ok {
--- a/server/daemon/listen.go
+++ b/server/daemon/listen.go
@@ -18,12 +18,19 @@
 // listen opens each HTTP listener that the settings name.
 func (d *daemon) listen() error {
 	if d.handler != nil {
-		if err := d.serve(d.Settings.CallerListen, d.handler); err != nil {
+		var callers http.Handler = d.handler
+		if d.Settings.Adapter != "" {
+			callers = d.handler.Routed()
+		}
+		if err := d.serve(d.Settings.CallerListen, callers); err != nil {
+			return err
+		}
+		if err := d.serve(d.Settings.ReadinessListen, d.Adapter.Readiness(http.HandlerFunc(d.ready))); err != nil {
 			return err
 		}
 	}
 	if d.service != nil {
-		if err := d.serve(d.Settings.OperatorListen, d.service.OperatorHandler([]string{d.Settings.OperatorTokenSHA256})); err != nil {
+		if err := d.serve(d.Settings.OperatorListen, d.operatorHandler()); err != nil {
 			return err
 		}
 	}
@@ -52,6 +59,13 @@
 	return nil
 }
 
+func (d *daemon) operatorHandler() http.Handler {
+	if d.Settings.Adapter == "" {
+		return d.service.OperatorHandler([]string{d.Settings.OperatorTokenSHA256})
+	}
+	return d.Adapter.Control(ControlParts{Operators: d.service.CallOperatorAPI, Announce: d.Client.Announce, Log: d.Logger})
+}
+
 func (d *daemon) metricsHandler() http.Handler {
 	d.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "clementinetray_view_age_seconds",
@@ -79,7 +93,7 @@
 // ready answers for the entry role when the process has it, else for the replica.
 func (d *daemon) ready(w http.ResponseWriter, r *http.Request) {
 	if d.handler != nil {
-		d.handler.ServeHTTP(w, r)
+		d.handler.ServeReady(w, r)
 		return
 	}
 	if age, ok := d.replica.FreshAge(time.Now()); !ok || age > d.Settings.MaxViewAge {
--- a/server/entry/config.go
+++ b/server/entry/config.go
@@ -11,6 +11,7 @@
 	"clementinetray/api/control"
 	"clementinetray/api/event"
 	"clementinetray/server/blackboard"
+	"clementinetray/server/retry"
 )
 
 // ErrConfig is returned by New for a Config that lacks a required part.
@@ -78,6 +79,15 @@
 	CallerReadTimeout time.Duration
 	// CallerWriteTimeout is how long one write to a caller may block. Default 30 s.
 	CallerWriteTimeout time.Duration
+	// Dialect reads and writes the headers of routed requests. Default: the product's own.
+	Dialect Dialect
+	// RoutedRetryPart is the share of the routed requests of a service within 10 s that may be sent once more, and
+	// RoutedRetryFree the number of retries within 10 s beside that. Defaults 0.1 and 3.
+	RoutedRetryPart float64
+	RoutedRetryFree float64
+	// ServeLeaving is how long routed requests are still served after Drain began: the load balancer sends new ones until it
+	// has noticed. Default 0.
+	ServeLeaving time.Duration
 	// ControlTimeout bounds each write to the control group. Default 3 s, the bound on time without a leader.
 	ControlTimeout time.Duration
 }
@@ -119,6 +129,11 @@
 	defaultTo(&c.CallerReadTimeout, 30*time.Second)
 	defaultTo(&c.CallerWriteTimeout, 30*time.Second)
 	defaultTo(&c.ControlTimeout, 3*time.Second)
+	defaultTo(&c.RoutedRetryPart, retry.Part)
+	defaultTo(&c.RoutedRetryFree, retry.Free)
+	if c.Dialect == nil {
+		c.Dialect = nativeDialect{}
+	}
 	if c.Recorder == nil {
 		c.Recorder = noRecorder{}
 	}
--- a/server/entry/dispatch.go
+++ b/server/entry/dispatch.go
@@ -45,6 +45,10 @@
 	err  error
 	// wrote says that a byte of the request may have been written.
 	wrote bool
+	// notRun says that the backend server proved that it did not run the request.
+	notRun bool
+	// refused is the backend server's failure answer, if it was read.
+	refused *answer
 	// died says that the backend server died while it ran the request.
 	died bool
 }
@@ -94,7 +98,7 @@
 	x.running = runningAttempt{server: placed.server.ID, boot: placed.server.Boot, cancel: x.cancel}
 	h.running.add(&x.running)
 	if rq.tries == 1 {
-		h.cfg.Budget.Request(x.began)
+		h.budgetOf(rq).Request(x.began)
 	}
 	r, err := x.newRequest(out)
 	if err != nil {
@@ -128,6 +132,10 @@
 	}
 	r.Body, r.ContentLength = oneShotBody{bytes.NewReader(out.body)}, int64(len(out.body))
 	r.Header = out.header.Clone()
+	if x.rq.routed != nil {
+		x.writeRouted(r)
+		return r, nil
+	}
 	r.Header.Set(headerAttemptID, x.id)
 	r.Header.Set(headerPriority, strconv.Itoa(x.rq.priority()))
 	if x.rq.traceparent != "" {
@@ -141,8 +149,11 @@
 
 // checkEcho drops an answer that names another attempt.
 func (x *exchange) checkEcho() *attemptError {
-	echo := x.response.Header.Get(headerAttemptID)
-	if echo == "" || echo == x.id {
+	echo, id := x.response.Header.Get(headerAttemptID), x.id
+	if x.rq.routed != nil {
+		echo, id = x.h.cfg.Dialect.ReadAnswer(x.response).ID, x.rq.id
+	}
+	if echo == "" || echo == id {
 		return nil
 	}
 	kind := "crossed"
@@ -179,7 +190,7 @@
 		f.died = true
 	}
 	f = x.fail(f)
-	if f.died && reused && !x.answered && !errRestarted.Has(cause) && x.h.alive(x.ctx, x.server) {
+	if x.rq.routed == nil && f.died && reused && !x.answered && !errRestarted.Has(cause) && x.h.alive(x.ctx, x.server) {
 		f.died = false
 	}
 	f.died = f.died && f.wrote
@@ -198,6 +209,7 @@
 	f.wrote = x.response != nil || x.trace.seal()
 	x.rq.written = x.rq.written || f.wrote
 	x.h.metrics.attempts.WithLabelValues(string(f.kind)).Inc()
+	x.logFailure(f)
 	x.h.recordServer(x.rq, x.server, "attempt_failed", f.Error())
 	if f.kind == failDial || f.kind == failBroken {
 		x.h.suspects.set(x.server.ID, time.Now().Add(suspectTime))
@@ -260,3 +272,26 @@
 	h.metrics.retries.Inc()
 	return nil
 }
+
+// writeRouted adds the headers of an attempt of a routed request. The host stays the caller's, as backend servers see the
+// request as it was sent.
+func (x *exchange) writeRouted(r *http.Request) {
+	call := x.rq.routed
+	r.Host = call.host
+	x.h.cfg.Dialect.WriteAttempt(r.Header, &Attempt{
+		Server: x.server, ID: x.rq.id, Workspace: x.rq.workspaceName(), Left: max(time.Until(call.limit), time.Millisecond),
+		Rank: x.rq.rank(), Model: call.model, LastEvent: call.delivered,
+	})
+	if _, named := r.Header["User-Agent"]; !named {
+		// An empty value keeps the transport from adding its own.
+		r.Header.Set("User-Agent", "")
+	}
+}
+
+// budgetOf returns the retry budget that the request draws on.
+func (h *Handler) budgetOf(rq *request) RetryBudget {
+	if rq.routed != nil {
+		return h.routedBudget(rq.routed.service)
+	}
+	return h.cfg.Budget
+}
--- a/server/entry/drain.go
+++ b/server/entry/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/zeebo/errs"
 
@@ -49,16 +50,32 @@
 	}
 }
 
-func (h *Handler) isDraining() bool {
+func (h *Handler) isLeaving() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.draining
+	return h.leaving
+}
+
+// serveLeaving reports not ready and goes on serving for a while, as the load balancer sends new requests until it has
+// noticed.
+func (h *Handler) serveLeaving(ctx context.Context) {
+	h.mu.Lock()
+	h.leaving = true
+	h.mu.Unlock()
+	if h.cfg.ServeLeaving <= 0 {
+		return
+	}
+	select {
+	case <-time.After(h.cfg.ServeLeaving):
+	case <-ctx.Done():
+	}
 }
 
 // Drain stops the handler gracefully: it reports not ready, refuses new requests as not run, waits for each open request
 // and stream however long it takes, and then for bills, call records and slots to reach the control group. It returns an error
 // only when ctx ends first; what is left is named in it.
 func (h *Handler) Drain(ctx context.Context) error {
+	h.serveLeaving(ctx)
 	h.mu.Lock()
 	h.draining = true
 	if h.open == 0 {
--- a/server/entry/handler.go
+++ b/server/entry/handler.go
@@ -13,6 +13,8 @@
 	"clementinetray/api/catalogue"
 	"clementinetray/api/event"
 	"clementinetray/api/problem"
+	"clementinetray/server/balance"
+	"clementinetray/server/retry"
 )
 
 // Handler serves callers. It is safe for concurrent use.
@@ -35,14 +37,22 @@
 	finisher    *callFinisher
 	ratings     *rater
 
+	// balance is what this instance knows of the backend servers of routed requests.
+	balance  *balance.Tracker
+	budgetMu sync.Mutex // guards budgets
+	// budgets holds the retry budget of each service.
+	budgets map[string]*retry.Budget
+
 	// sent corrects the load of backend servers by what was sent there, usage counts running requests by workspace.
 	sent  sentLoads
 	usage counts
 	// suspects holds until when a backend server is avoided.
 	suspects times
 
-	mu       sync.Mutex // guards open, draining and idle
-	open     int
+	mu   sync.Mutex // guards open, leaving, draining and idle
+	open int
+	// leaving says that the instance will stop: it is not ready any more. draining says that it refuses new requests.
+	leaving  bool
 	draining bool
 	idle     chan struct{} // closed when draining and nothing is open
 
@@ -66,6 +76,7 @@
 		bills: newBiller(&cfg, m), sessions: newSessionCache(cfg.SessionCache),
 		answers: newAnswerStore(cfg.AnswerRetention, cfg.AnswerMemory, m), queue: newWaitQueue(cfg.MaxWaiting, m),
 		outcomes: newOutcomeCounts(), latency: newLatencyWatch(), crashes: newCrashCache(), running: newRunningAttempts(),
+		balance: balance.NewTracker(), budgets: map[string]*retry.Budget{},
 		idle: make(chan struct{}), stop: stop,
 	}
 	h.slots = newSlotHolder(&h.cfg)
@@ -99,13 +110,21 @@
 	mux.HandleFunc("/services/{name}", h.serveService)
 	mux.HandleFunc("/services/{name}/*", h.serveService)
 	mux.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	mux.Get("/readyz", h.serveReady)
-	mux.NotFound(func(w http.ResponseWriter, r *http.Request) {
-		h.writeProblem(w, nil, problem.New(problem.NotFound, "").Unrun())
-	})
+	mux.Get("/readyz", h.ServeReady)
+	mux.NotFound(h.serveOther)
+	mux.MethodNotAllowed(h.serveOther)
 	return mux
 }
 
+// serveOther answers what no path of this API names: by a route of the catalogue, if it has any.
+func (h *Handler) serveOther(w http.ResponseWriter, r *http.Request) {
+	if view := h.cfg.Board.View.Load(); view.View == nil || view.Catalogue == nil || len(view.Catalogue.Routes) == 0 {
+		h.writeProblem(w, nil, problem.New(problem.NotFound, "").Unrun())
+		return
+	}
+	h.serveRouted(w, r)
+}
+
 // recoverPanics turns a panic into an answer, if none was begun. Limits and slots are given back by deferred calls.
 func (h *Handler) recoverPanics(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -125,7 +144,8 @@
 	})
 }
 
-func (h *Handler) serveReady(w http.ResponseWriter, _ *http.Request) {
+// ServeReady answers whether the load balancer may send new requests here.
+func (h *Handler) ServeReady(w http.ResponseWriter, _ *http.Request) {
 	if p := h.notReady(); p != nil {
 		p.Write(w)
 		return
@@ -134,7 +154,7 @@
 }
 
 func (h *Handler) notReady() *problem.Problem {
-	if h.isDraining() {
+	if h.isLeaving() {
 		return problem.New(problem.Stopping, "the instance is stopping").Unrun()
 	}
 	if p := h.checkView(time.Now()); p != nil {
--- a/server/entry/outcomes.go
+++ b/server/entry/outcomes.go
@@ -25,7 +25,9 @@
 type outcomeKey struct {
 	version          catalogue.VersionRef
 	class, workspace string
-	server           serverBoot
+	// service and software are those of a routed request.
+	service, software string
+	server            serverBoot
 }
 
 func newOutcomeCounts() *outcomeCounts {
@@ -42,6 +44,7 @@
 		o.byKey[key] = &control.Outcome{
 			VersionRef: key.version, Class: key.class, Workspace: key.workspace,
 			BackendServer: key.server.server, Boot: key.server.boot,
+			Service: key.service, SoftwareVersion: key.software,
 		}
 	}
 	change(o.byKey[key])
--- a/server/entry/place.go
+++ b/server/entry/place.go
@@ -80,6 +80,9 @@
 // newWaiter returns the request's place in the order of waiting requests.
 func (h *Handler) newWaiter(rq *request) *waiter {
 	w := rq.route.Workspace
+	if rq.routed != nil {
+		return h.newRoutedWaiter(rq)
+	}
 	return &waiter{
 		Waiting: limits.Waiting{Priority: rq.priority(), Use: float64(h.usage.get(w.Name)), Weight: w.Weight, Since: time.Now()},
 		pool:    rq.pool(), wake: make(chan struct{}, 1), refused: make(chan struct{}),
@@ -100,6 +103,9 @@
 }
 
 func (rq *request) priority() int {
+	if rq.routed != nil {
+		return -rq.rank()
+	}
 	if rq.class == nil {
 		return 0
 	}
@@ -108,6 +114,9 @@
 
 // waitUntil is the end of the wait for a backend server. A pinned session waits up to the deadline for its version's pool.
 func (h *Handler) waitUntil(rq *request, began time.Time, reason problem.Reason) time.Time {
+	if rq.routed != nil {
+		return rq.waitLimit(began)
+	}
 	until := began.Add(h.cfg.MaxWait)
 	if rq.tries > 0 {
 		until = began.Add(h.cfg.RetryWait)
@@ -135,6 +144,9 @@
 
 // tryPlace places the request now or says why it can't. waiting is its place in the queue, nil on the first try.
 func (h *Handler) tryPlace(ctx context.Context, rq *request, waiting *waiter) (*placement, *problem.Problem) {
+	if rq.routed != nil {
+		return h.tryPlaceRouted(ctx, rq, waiting)
+	}
 	snap, p := h.snapshot()
 	if p != nil {
 		return nil, p
--- a/server/entry/request.go
+++ b/server/entry/request.go
@@ -48,6 +48,12 @@
 	// crashes is the number of crashed backend servers known for the fingerprint.
 	crashes int
 
+	// routed is set for a request that came by a route of the catalogue.
+	routed *routedCall
+	// mayHaveRun says that a backend server may have run the request; zone is the availability zone of this instance.
+	mayHaveRun bool
+	zone       string
+
 	// version is the chosen version; fixed says that it can't change any more because part of its answer was delivered.
 	version catalogue.VersionRef
 	// explored says that the version was chosen to learn its quality.
--- /dev/null
+++ b/server/entry/routed_log.go
@@ -0,0 +1,44 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"clementinetray/api/control"
+	"clementinetray/api/problem"
+	"clementinetray/server/balance"
+	"clementinetray/server/routing"
+)
+
+// logPlacement says why a request goes to a backend server.
+func (h *Handler) logPlacement(rq *request, server *control.BackendServer, c *balance.Candidate, candidates int, snap *routing.Snapshot) {
+	h.cfg.Log.LogAttrs(context.Background(), slog.LevelInfo, "server_chosen", slog.String("request", rq.id), slog.String("route", rq.routed.route.Name),
+		slog.String("backend_server", server.ID), slog.String("model", rq.routed.model), slog.Int("attempt", rq.attempts+1),
+		slog.Float64("load", c.Load), slog.Bool("cold", c.Cold), slog.Float64("doubt", c.Doubt), slog.Float64("slowness", c.Slowness),
+		slog.Int("cached_tokens", c.CachedTokens), slog.Int("candidates", candidates), slog.Uint64("revision", snap.View.Revision),
+		slog.Duration("view_age", h.cfg.Board.View.Load().Age(snap.Now)), slog.Duration("fleet_age", snap.Now.Sub(snap.Fleet.ReceivedAt)),
+		slog.Duration("waited", snap.Now.Sub(rq.start)))
+}
+
+// logAnswer says how an attempt was answered.
+func (h *Handler) logAnswer(x *exchange, outcome string) {
+	h.cfg.Log.Info(outcome, "request", x.rq.id, "route", x.rq.routed.route.Name, "backend_server", x.server.ID,
+		"status", x.response.StatusCode, "attempts", x.rq.attempts, "took", time.Since(x.rq.start))
+}
+
+// logRefusal says why a request was not answered by a backend server.
+func (h *Handler) logRefusal(rq *request, p *problem.Problem) {
+	view := h.cfg.Board.View.Load()
+	h.cfg.Log.Info("request_refused", "request", rq.id, "workspace", rq.workspaceName(), "reason", string(p.Reason), "detail", p.Detail,
+		"not_run", !rq.mayHaveRun, "attempts", rq.attempts, "revision", rq.revision, "view_age", view.Age(time.Now()), "took", time.Since(rq.start))
+}
+
+// logFailure says how an attempt of a routed request failed.
+func (x *exchange) logFailure(f *attemptError) {
+	if x.rq.routed == nil {
+		return
+	}
+	x.h.cfg.Log.Info("attempt_failed", "request", x.rq.id, "backend_server", x.server.ID, "kind", string(f.kind), "error", f.Error(),
+		"written", f.wrote, "attempt", x.rq.attempts, "took", time.Since(x.began))
+}
--- /dev/null
+++ b/server/entry/routed_place.go
@@ -0,0 +1,156 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"clementinetray/api/catalogue"
+	"clementinetray/api/control"
+	"clementinetray/api/problem"
+	"clementinetray/server/balance"
+	"clementinetray/server/limits"
+	"clementinetray/server/retry"
+	"clementinetray/server/routing"
+)
+
+// tryPlaceRouted places a routed request now or says why it can't.
+func (h *Handler) tryPlaceRouted(ctx context.Context, rq *request, waiting *waiter) (*placement, *problem.Problem) {
+	snap, p := h.snapshot()
+	if p != nil {
+		return nil, p
+	}
+	if ctx.Err() != nil {
+		return nil, problem.New(problem.DeadlineExceeded, "the deadline has passed or the caller is gone")
+	}
+	if waiting != nil && h.queue.outranks(waiting, nil) || waiting == nil && h.queue.outranks(nil, func() *waiter { return h.newWaiter(rq) }) {
+		return nil, problem.New(problem.Overloaded, "other requests wait for "+rq.pool()).After(time.Second)
+	}
+	call := rq.routed
+	if call.route = snap.View.Catalogue.FindRoute(call.host, call.path); call.route == nil {
+		return nil, problem.New(problem.NotFound, "the route was removed")
+	}
+	pool := snap.View.Catalogue.PoolOf(call.service)
+	h.chooseModel(rq, &pool)
+	size := rq.size()
+	rows, servers := routableRows(snap, rq)
+	if len(rows) == 0 {
+		return nil, problem.New(problem.NoBackendServer, "no backend server takes work for "+call.service).After(time.Second)
+	}
+	cold := 0.0
+	if pool.ColdPerSecond > 0 {
+		cold = balance.ColdRate(pool.ColdPerSecond, len(snap.Fleet.Members))
+	}
+	candidates := h.balance.Candidates(snap.Now, rows, size, cold)
+	best := balance.Choose(candidates, size, rq.id)
+	if best < 0 {
+		return nil, problem.New(problem.Overloaded, "each backend server of "+call.service+" is cold").After(time.Second)
+	}
+	server := servers[best]
+	if candidates[best].Load >= maxRoutedLoad {
+		return nil, problem.New(problem.Overloaded, "each backend server of "+call.service+" is full").After(time.Second)
+	}
+	if !candidates[best].Cold {
+		cold = 0
+	}
+	h.logPlacement(rq, server, &candidates[best], len(candidates), snap)
+	return h.holdPlace(rq, server, size, cold), nil
+}
+
+// maxRoutedLoad is the load from which on a request waits in this instance instead of at a backend server.
+const maxRoutedLoad = 1.5
+
+// holdPlace counts the request at the backend server until the placement is released.
+func (h *Handler) holdPlace(rq *request, server *control.BackendServer, size *balance.Request, cold float64) *placement {
+	done := h.balance.Sent(time.Now(), server.ID, size, cold)
+	pool := rq.pool()
+	var once sync.Once
+	release := func() {
+		once.Do(func() {
+			done()
+			h.queue.wakeFirst(pool)
+		})
+	}
+	// A panic before the placement is used gives it back too.
+	rq.releasePlace = release
+	return &placement{server: server, release: release}
+}
+
+// routableRows returns the backend servers of the request's service that take new work.
+func routableRows(snap *routing.Snapshot, rq *request) ([]balance.Row, []*control.BackendServer) {
+	var rows []balance.Row
+	var servers []*control.BackendServer
+	since := snap.Now.Sub(snap.Fleet.ReceivedAt)
+	for _, b := range snap.Fleet.ByService[rq.routed.service] {
+		if !routing.Routable(snap, b) || rq.route.Exclude[b.ID] {
+			continue
+		}
+		heard := b.LoadAge + since
+		coldFor := max(time.Duration(b.ColdMillis)*time.Millisecond-heard, 0)
+		rows = append(rows, balance.Row{ID: b.ID, Zone: b.AvailabilityZone, Slots: b.Capacity, Heard: heard, ColdFor: coldFor})
+		servers = append(servers, b)
+	}
+	return rows, servers
+}
+
+// size returns what the balance of backend servers needs to know of the request.
+func (rq *request) size() *balance.Request {
+	c := rq.routed
+	output := c.MaxOutputTokens
+	if c.OutputHint > 0 {
+		output = min(c.OutputHint, max(output, c.OutputHint))
+	}
+	return &balance.Request{
+		PromptTokens: c.PromptTokens, OutputTokens: output, Model: c.model, Parts: c.Parts, Zone: rq.zone,
+	}
+}
+
+// chooseModel decides for a model when the route leaves that to the router.
+func (h *Handler) chooseModel(rq *request, pool *catalogue.Pool) {
+	call := rq.routed
+	if len(call.route.Models) == 0 || call.model != "" || pool.Engine == nil {
+		return
+	}
+	call.model = call.route.Models[len(call.route.Models)-1]
+}
+
+// routedBudget returns the retry budget of a service.
+func (h *Handler) routedBudget(service string) *retry.Budget {
+	h.budgetMu.Lock()
+	defer h.budgetMu.Unlock()
+	b := h.budgets[service]
+	if b == nil {
+		b = retry.NewBudgetOf(h.cfg.RoutedRetryPart, h.cfg.RoutedRetryFree)
+		h.budgets[service] = b
+	}
+	return b
+}
+
+// newRoutedWaiter returns the request's place in the order of waiting requests.
+func (h *Handler) newRoutedWaiter(rq *request) *waiter {
+	name, weight := rq.workspaceName(), 0.0
+	if w := rq.route.Workspace; w != nil {
+		weight = w.Weight
+	}
+	return &waiter{
+		Waiting: limits.Waiting{Priority: rq.priority(), Use: float64(h.usage.get(name)), Weight: weight, Since: time.Now()},
+		pool:    rq.pool(), wake: make(chan struct{}, 1), refused: make(chan struct{}),
+	}
+}
+
+// waitLimit is the end of the wait for a backend server: a share of the time in which the answer is wanted, so that a
+// refusal leaves the caller time to come back.
+func (rq *request) waitLimit(began time.Time) time.Time {
+	call := rq.routed
+	wait := time.Until(call.limit) / 2
+	if target := call.route.Target(); target > 0 {
+		wait = min(wait, target*waitShare/100)
+	}
+	if call.begun || rq.tries > 0 {
+		return call.limit
+	}
+	return began.Add(max(wait, 0))
+}
+
+// waitShare is the share of the wanted time, in percent, that a request waits for a backend server.
+const waitShare = 60
--- a/server/fleet/table.go
+++ b/server/fleet/table.go
@@ -101,8 +101,13 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
+	if earlier := t.atAddress(a); earlier != "" {
+		return ErrStaleBoot.New("server=%s boot=%s address=%s now belongs to %s", a.ID, a.Boot, a.Address, earlier)
+	}
 	r := t.rows[a.ID]
 	switch {
+	case r != nil && late(&r.server, &a):
+		return ErrStaleBoot.New("server=%s boot=%s sequence=%d current=%s/%d", a.ID, a.Boot, a.Sequence, r.server.Boot, r.server.Sequence)
 	case r == nil && len(t.rows) >= maxServers:
 		return ErrTableFull.New("server=%s limit=%d", a.ID, maxServers)
 	case r == nil:
@@ -119,6 +124,46 @@
 	return nil
 }
 
+// late reports whether the announcement was sent before one that the row holds.
+func late(current *control.BackendServer, a *control.Announcement) bool {
+	if a.Started != current.Started {
+		return a.Started > 0 && a.Started < current.Started
+	}
+	return a.Sequence > 0 && a.Sequence <= current.Sequence
+}
+
+// atAddress makes room for a backend server at an address that others held: those that started before it are gone. It
+// returns the id of one that started later.
+func (t *Table) atAddress(a control.Announcement) string {
+	if a.Started == 0 {
+		return ""
+	}
+	for id, r := range t.rows {
+		switch {
+		case id == a.ID || r.server.Address != a.Address || r.server.Started == 0:
+		case r.server.Started > a.Started:
+			return id
+		default:
+			t.remove(id)
+		}
+	}
+	return ""
+}
+
+// Leave marks one boot of a backend server as leaving for good.
+func (t *Table) Leave(now time.Time, l control.Leave) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	r := t.rows[l.ID]
+	if r == nil || l.Started > 0 && l.Started != r.server.Started {
+		return
+	}
+	r.server.Deregistered, r.server.Leaving, r.server.Phase, r.server.Reason = true, true, control.PhaseLeaving, "deregistered"
+	t.version++
+	r.changed, t.settled = t.version, t.version
+}
+
 func check(a control.Announcement) error {
 	for field, text := range map[string]string{"id": a.ID, "address": a.Address, "boot": a.Boot} {
 		if text == "" || len(text) > maxText {
@@ -151,7 +196,7 @@
 
 func restart(r *row, a control.Announcement) {
 	r.server.Phase, r.server.Limit, r.server.Reason = control.PhaseCold, ColdLimit(a), "new boot number"
-	r.prefixAt = time.Time{}
+	r.prefixAt, r.server.Deregistered = time.Time{}, false
 }
 
 // ColdLimit is the number of requests that a backend server bears right after its start.
@@ -159,12 +204,20 @@
 
 func (t *Table) update(now time.Time, r *row, a control.Announcement) {
 	t.version++
+	a.Leaving = a.Leaving || r.server.Deregistered
 	old := r.server.Announcement
 	prefixes := t.acceptPrefixes(now, r, a)
 	same := sameIdentity(old, a)
 	r.server.Announcement = a
 	r.server.PrefixHashes = prefixes
 	r.server.ReportedAt = now
+	if a.StatesCold {
+		// No ramp: the backend server says itself how long it is cold.
+		r.server.Phase, r.server.Limit, r.server.Reason = control.PhaseInService, 0, "states its cold time"
+		if a.Leaving {
+			r.server.Phase, r.server.Reason = control.PhaseLeaving, "announced that it leaves"
+		}
+	}
 	r.reported, r.expires = now, now.Add(AnnouncementTTL)
 	r.load = t.version
 	if !slices.Equal(old.PrefixHashes, prefixes) {
@@ -190,6 +243,7 @@
 func sameIdentity(a, b control.Announcement) bool {
 	return a.Boot == b.Boot && a.Address == b.Address && a.AvailabilityZone == b.AvailabilityZone &&
 		a.Region == b.Region && a.Service == b.Service && a.Capacity == b.Capacity &&
+		a.SoftwareVersion == b.SoftwareVersion && a.Started == b.Started && a.StatesCold == b.StatesCold && a.ColdMillis == b.ColdMillis &&
 		a.ColdCapacity == b.ColdCapacity && a.Leaving == b.Leaving && a.Fencing == b.Fencing &&
 		slices.Equal(a.Versions, b.Versions)
 }
--- a/server/lifecycle/lifecycle.go
+++ b/server/lifecycle/lifecycle.go
@@ -161,6 +161,9 @@
 	c.fleet = fleet
 	var pending []record
 	for id, row := range fleet.Servers {
+		if row.StatesCold {
+			continue
+		}
 		s := c.observe(now, id, row)
 		want := s.decide(now, fleet.ReceivedAt.Add(-row.LoadAge), row, view)
 		if s.mayApply(want) {
--- a/server/replica/config.go
+++ b/server/replica/config.go
@@ -15,6 +15,8 @@
 	defaultHeartbeatInterval = 100 * time.Millisecond
 	defaultCallTimeout       = 2 * time.Second
 	defaultJoinInterval      = time.Second
+	defaultGatherTime        = 1500 * time.Millisecond
+	defaultSilenceLimit      = 3 * time.Second
 	defaultCompactBytes      = 8 << 20
 )
 
@@ -29,6 +31,9 @@
 	// Bootstrap allows this replica to take part in the creation of a new group. A group is created only while the data
 	// folders of all Members are empty and all of them answer, so the setting may stay on.
 	Bootstrap bool
+	// GroupSize is the number of voters that the group keeps by itself: replicas that Members does not hold may join, and
+	// voters beyond that number leave once they have been silent for SilenceLimit. Default 0: operators decide.
+	GroupSize int
 	DataDir   string
 
 	Pool         *peer.Pool
@@ -50,6 +55,13 @@
 	CallTimeout time.Duration
 	// JoinInterval is the pause between the requests of a replica that is not a voter yet. Default 1 s.
 	JoinInterval time.Duration
+	// GatherTime is how long the replica that creates a group with a GroupSize waits for replicas that Members does not hold.
+	// Default 1.5 s.
+	GatherTime time.Duration
+	// SilenceLimit is how long a voter must be silent before a replica that joined takes its place. Default 3 s.
+	SilenceLimit time.Duration
+	// Peers returns further addresses of replicas to ask for admission. Default: none.
+	Peers func() []string
 	// CompactBytes is the growth of the log after which a snapshot is written. Default 8 MiB.
 	CompactBytes int64
 	// FS defaults to the file system of the machine.
@@ -62,7 +74,12 @@
 	setDefault(&c.HeartbeatInterval, defaultHeartbeatInterval)
 	setDefault(&c.CallTimeout, defaultCallTimeout)
 	setDefault(&c.JoinInterval, defaultJoinInterval)
+	setDefault(&c.GatherTime, defaultGatherTime)
+	setDefault(&c.SilenceLimit, defaultSilenceLimit)
 	setDefault(&c.CompactBytes, defaultCompactBytes)
+	if c.Peers == nil {
+		c.Peers = func() []string { return nil }
+	}
 	if c.FS == nil {
 		c.FS = wal.OS{}
 	}
@@ -84,7 +101,7 @@
 		return ErrConfig.New("ID, Address and DataDir are required")
 	case c.Pool == nil || c.Server == nil || c.StateMachine == nil:
 		return ErrConfig.New("Pool, Server and StateMachine are required")
-	case c.Bootstrap && c.Members[c.ID] == "":
+	case c.Bootstrap && c.GroupSize == 0 && c.Members[c.ID] == "":
 		return ErrConfig.New("Members does not hold this replica %q, which is to take part in the bootstrap", c.ID)
 	}
 	return nil
--- a/server/replica/membership.go
+++ b/server/replica/membership.go
@@ -1,8 +1,11 @@
 package replica
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"clementinetray/server/raft"
@@ -55,6 +58,7 @@
 	done := make(chan struct{})
 	var result error
 	err := s.r.post(func() {
+		s.r.gather(args)
 		reply.Progress, result = s.r.admit(args)
 		close(done)
 	})
@@ -78,6 +82,36 @@
 	}
 }
 
+// gather notes who asks to join before there is a group, so that the group starts with them.
+func (r *Replica) gather(args JoinArgs) {
+	if r.cfg.GroupSize > 0 && r.cfg.Members[args.ID] == "" && r.node.LastIndex() == 0 && len(r.asking) < maxAsking {
+		r.asking[args.ID] = args
+	}
+}
+
+// maxAsking bounds the replicas that are noted before there is a group.
+const maxAsking = 16
+
+// gathered returns the replicas that asked to join and still answer with an empty folder, ordered by id.
+func (r *Replica) gathered() []JoinArgs {
+	collected := make(chan []JoinArgs, 1)
+	if r.post(func() { collected <- slices.Collect(maps.Values(r.asking)) }) != nil {
+		return nil
+	}
+	var asking []JoinArgs
+	select {
+	case asking = <-collected:
+	case <-r.stopping:
+		return nil
+	}
+	slices.SortFunc(asking, func(a, b JoinArgs) int { return cmp.Compare(a.ID, b.ID) })
+	return slices.DeleteFunc(asking, func(a JoinArgs) bool {
+		var reply IdentifyReply
+		err := r.call(a.Address, "Identify", Empty{}, &reply)
+		return err != nil || reply.Node != a.Node || !reply.Empty
+	})
+}
+
 // admit takes the next step in the admission of a replica whose data folder is new: add it as a learner, wait until it
 // has caught up, remove the old node of the same id, promote it. Each step is a committed membership change of its
 // own, and at most one voter changes in each.
@@ -90,6 +124,9 @@
 		return r.admitMember(members, member)
 	}
 	former := nodesOf(members, args.ID, args.Node)
+	if len(former) == 0 && r.hasRoom(members) {
+		return r.change(members.With(raft.Member{Node: args.Node, ID: args.ID, Address: args.Address, Rejoining: true}))
+	}
 	if len(former) == 0 {
 		return "", ErrNotMember.New("no replica %q in the group: an operator has to add it", args.ID)
 	}
@@ -131,6 +168,41 @@
 			return
 		}
 	}
+	if leaving, ok := r.surplus(members, time.Now()); ok {
+		r.cfg.Logger.Info("silent_voter_leaves", "node", leaving.Node, "voters", members.Voters(), "group_size", r.cfg.GroupSize)
+		_, _ = r.change(members.Without(leaving.Node))
+	}
+}
+
+// maxExtraMembers bounds the replicas beyond the group's size that may join before silent ones have left.
+const maxExtraMembers = 2
+
+// hasRoom reports whether a replica that the settings do not name may join.
+func (r *Replica) hasRoom(members raft.Membership) bool {
+	return r.cfg.GroupSize > 0 && len(members) < r.cfg.GroupSize+maxExtraMembers
+}
+
+// surplus returns the voter that has been silent longest, when the group has more voters than its size and the voter has
+// been silent for SilenceLimit. Learners that fell silent leave without a condition on the size.
+func (r *Replica) surplus(members raft.Membership, now time.Time) (raft.Member, bool) {
+	var longest raft.Member
+	var since time.Time
+	for _, m := range members {
+		if _, active := r.node.MatchIndex(m.Node); active {
+			delete(r.silentSince, m.Node)
+			continue
+		}
+		if r.silentSince[m.Node].IsZero() {
+			r.silentSince[m.Node] = now
+		}
+		if m.Voter && members.Voters() <= r.cfg.GroupSize {
+			continue
+		}
+		if at := r.silentSince[m.Node]; since.IsZero() || at.Before(since) {
+			longest, since = m, at
+		}
+	}
+	return longest, r.cfg.GroupSize > 0 && !since.IsZero() && now.Sub(since) >= r.cfg.SilenceLimit
 }
 
 // caughtUp reports whether the node answers and has synced its log up to the commit index.
@@ -184,11 +256,22 @@
 		select {
 		case <-r.stopping:
 			return
-		case <-time.After(r.cfg.JoinInterval):
+		case <-time.After(r.joinPause()):
 		}
 	}
 }
 
+// joinPause is shorter while the group is created, so that all who start together are in it from the start.
+func (r *Replica) joinPause() time.Duration {
+	if r.cfg.Bootstrap && r.cfg.GroupSize > 0 && time.Since(r.started) < 2*r.cfg.GatherTime {
+		return r.cfg.GatherTime / gatherTurns
+	}
+	return r.cfg.JoinInterval
+}
+
+// gatherTurns is how often a replica asks to join within the time in which the creator of the group waits.
+const gatherTurns = 6
+
 func (r *Replica) isVoter() bool {
 	voter := make(chan bool, 1)
 	err := r.post(func() {
@@ -215,7 +298,7 @@
 		ids = append(ids, id)
 	}
 	slices.Sort(ids)
-	if !r.cfg.Bootstrap || ids[0] != r.cfg.ID {
+	if !r.cfg.Bootstrap || len(ids) == 0 || ids[0] != r.cfg.ID || r.cfg.GroupSize > 0 && time.Since(r.started) < r.cfg.GatherTime {
 		return false
 	}
 	members := raft.Membership{}
@@ -232,6 +315,11 @@
 		}
 		members = members.With(raft.Member{Node: reply.Node, ID: id, Address: r.cfg.Members[id], Voter: true})
 	}
+	for _, a := range r.gathered() {
+		if len(members) < r.cfg.GroupSize {
+			members = members.With(raft.Member{Node: a.Node, ID: a.ID, Address: a.Address, Voter: true})
+		}
+	}
 	return r.createGroup(members)
 }
 
@@ -296,15 +384,22 @@
 		addresses[m.Address] = true
 	}
 	delete(addresses, r.cfg.Address)
+	for _, address := range r.cfg.Peers() {
+		addresses[address] = true
+	}
+	var asked sync.WaitGroup
+	defer asked.Wait()
 	for address := range addresses {
-		var reply JoinReply
-		args := JoinArgs{ID: r.cfg.ID, Node: r.nodeID, Address: r.cfg.Address}
-		if err := r.call(address, "Join", args, &reply); err != nil {
-			r.cfg.Logger.Debug("join_refused", "by", address, "error", err.Error())
-			continue
-		}
-		r.cfg.Logger.Info("join", "leader", address, "progress", reply.Progress)
-		return
+		// All at once: a silent address must not hold up the others.
+		asked.Go(func() {
+			var reply JoinReply
+			args := JoinArgs{ID: r.cfg.ID, Node: r.nodeID, Address: r.cfg.Address}
+			if err := r.call(address, "Join", args, &reply); err != nil {
+				r.cfg.Logger.Debug("join_refused", "by", address, "error", err.Error())
+				return
+			}
+			r.cfg.Logger.Info("join", "leader", address, "progress", reply.Progress)
+		})
 	}
 }
 
--- a/server/replica/replica.go
+++ b/server/replica/replica.go
@@ -39,6 +39,8 @@
 	nodeID raft.NodeID
 	fresh  *freshness
 	apply  *applier
+	// started is when this process started, on its monotonic clock.
+	started time.Time
 
 	tasks    chan func()
 	applied  chan struct{}
@@ -79,6 +81,10 @@
 	nextRead uint64
 	round    uint64
 	lastTick time.Time
+	// silentSince holds since when members do not answer this leader.
+	silentSince map[raft.NodeID]time.Time
+	// asking holds the replicas that asked to join before there was a group, by id.
+	asking map[string]JoinArgs
 	// delivered is the last entry handed to the apply loop.
 	delivered, deliveredTerm uint64
 	// leadCommit is the commit index at the first commit of an entry of leadTerm, which this replica leads or led.
@@ -116,6 +122,7 @@
 func newReplica(cfg Config, store *storage, rec recovery) (*Replica, error) {
 	r := &Replica{
 		cfg: cfg, nodeID: store.identity.node(), fresh: newFreshness(), apply: newApplier(cfg.StateMachine),
+		started: time.Now(), silentSince: map[raft.NodeID]time.Time{}, asking: map[string]JoinArgs{},
 		tasks: make(chan func(), taskQueue), applied: make(chan struct{}, 1),
 		stopping: make(chan struct{}), done: make(chan struct{}),
 		leadership: blackboard.NewSection(Leadership{}), status: blackboard.NewSection(Status{ID: cfg.ID, Node: string(store.identity.node())}),
--- a/server/retry/budget.go
+++ b/server/retry/budget.go
@@ -23,9 +23,11 @@
 	buckets     = int(Window/bucketWidth) + 1
 )
 
-// Budget bounds the retries of one entry instance: within any Window at most Part of the requests of that Window plus
-// Free. It is safe for concurrent use.
+// Budget bounds the retries of one entry instance: within any Window at most a part of the requests of that Window plus
+// some free ones. It is safe for concurrent use.
 type Budget struct {
+	part, free float64
+
 	mu       sync.Mutex
 	start    time.Time
 	current  int64
@@ -36,7 +38,10 @@
 }
 
 // NewBudget returns an unused budget.
-func NewBudget() *Budget { return &Budget{} }
+func NewBudget() *Budget { return NewBudgetOf(Part, Free) }
+
+// NewBudgetOf returns an unused budget with another share and another number of free retries within Window.
+func NewBudgetOf(part, free float64) *Budget { return &Budget{part: part, free: free} }
 
 // Request counts a first attempt.
 func (b *Budget) Request(now time.Time) {
@@ -54,7 +59,7 @@
 	defer b.mu.Unlock()
 	i := b.advance(now)
 	oldest := (i + 1) % buckets
-	if float64(b.retrySum+1) > Free+Part*float64(b.requestSum-b.requests[oldest]) {
+	if float64(b.retrySum+1) > b.free+b.part*float64(b.requestSum-b.requests[oldest]) {
 		return false
 	}
 	b.retries[i]++
--- a/server/settings/fields.go
+++ b/server/settings/fields.go
@@ -46,19 +46,30 @@
 		set: text(func(s *Settings) *string { return &s.PeerListen }, validAddress)},
 	{Section: "listen", Key: "announcements", Allowed: addressAllowed, Use: "HTTP for announcements of backend servers",
 		set: text(func(s *Settings) *string { return &s.AnnounceListen }, validAddress)},
+	{Section: "listen", Key: "readiness", Allowed: addressAllowed, Use: "HTTP for the load balancer's readiness question; empty: answered by callers and metrics",
+		set: text(func(s *Settings) *string { return &s.ReadinessListen }, validAddress)},
 	{Section: "listen", Key: "metrics", Allowed: addressAllowed, Use: "HTTP for metrics, /healthz and /readyz",
 		set: text(func(s *Settings) *string { return &s.MetricsListen }, validAddress)},
 	{Section: "advertise", Key: "callers", Allowed: addressAllowed, Use: "where other instances reach the caller listener; default listen.callers",
 		set: text(func(s *Settings) *string { return &s.CallerAdvertise }, validAddress)},
 	{Section: "advertise", Key: "peers", Allowed: addressAllowed, Use: "where other instances reach the peer listener; default listen.peers",
 		set: text(func(s *Settings) *string { return &s.PeerAdvertise }, validAddress)},
-	{Section: "control", Key: "replicas", Required: true, Allowed: "id=host:port, separated by commas, 1 to 7 of them",
-		Use: "control replicas and their peer addresses", set: setReplicas},
+	{Section: "control", Key: "replicas", Allowed: "id=host:port, separated by commas, 1 to 7 of them",
+		Use: "control replicas and their peer addresses; required unless control.seeds is set", set: setReplicas},
+	{Section: "control", Key: "seeds", Allowed: "host:port, separated by commas, 1 to 7 of them",
+		Use: "hosts of some control replicas, in place of control.replicas: each instance listens for peers on the port of listen.peers, and control replicas join by themselves",
+		set: setSeeds},
+	{Section: "control", Key: "tolerated_losses", Default: "0", Allowed: "a number from 0 to 3",
+		Use: "data folders that may be lost at once: a change is confirmed once one more copy than that is synced, and with control.seeds the group grows to twice that plus one voters",
+		set: number(func(s *Settings) *int { return &s.ToleratedLosses }, 0, 3)},
 	{Section: "control", Key: "bootstrap", Default: "false", Allowed: "true or false",
 		Use: "true starts a new group on empty data folders; false lets an empty folder rejoin as a learner",
 		set: func(s *Settings, v string) bool { return parse(&s.Bootstrap, v, strconv.ParseBool) }},
-	{Section: "secrets", Key: "peer_secret_file", Required: true, Allowed: "a file with at least 16 bytes",
-		Use: "shared secret of the system's own processes", set: text(func(s *Settings) *string { return &s.PeerSecretFile }, nil)},
+	{Section: "secrets", Key: "peer_authentication", Default: "secret", Allowed: "secret or network",
+		Use: "how peers are authenticated: by the secret of peer_secret_file, or network where the network admits only the system's own processes",
+		set: text(func(s *Settings) *string { return &s.PeerAuthentication }, func(v string) bool { return v == "secret" || v == "network" })},
+	{Section: "secrets", Key: "peer_secret_file", Allowed: "a file with at least 16 bytes",
+		Use: "shared secret of the system's own processes; required with peer_authentication = secret", set: text(func(s *Settings) *string { return &s.PeerSecretFile }, nil)},
 	{Section: "secrets", Key: "operator_token_sha256", Allowed: "a lower-case SHA-256 in hexadecimal",
 		Use: "hash of the operators' bearer token", set: text(func(s *Settings) *string { return &s.OperatorTokenSHA256 }, validHash)},
 	{Section: "entry", Key: "max_view_age", Default: "6s", Allowed: "a duration from 1s to 9s",
@@ -72,10 +83,22 @@
 	{Section: "entry", Key: "request_time_limit", Default: "10m", Allowed: "a duration from 1s to 1h",
 		Use: "time limit of a request that names no deadline",
 		set: duration(func(s *Settings) *time.Duration { return &s.RequestTimeLimit }, time.Second, time.Hour)},
+	{Section: "entry", Key: "revocation_limit", Allowed: "a duration from 2s to 1m",
+		Use: "time within which a revoked key must stop working at each instance, also at one that is cut off; lowers max_view_age to half a second less",
+		set: duration(func(s *Settings) *time.Duration { return &s.RevocationLimit }, 2*time.Second, time.Minute)},
+	{Section: "entry", Key: "stop_grace", Allowed: "a duration from 1s to 1h",
+		Use: "time after SIGTERM at which the process is killed: open requests are ended before; empty: a stop waits for each of them",
+		set: duration(func(s *Settings) *time.Duration { return &s.StopGrace }, time.Second, time.Hour)},
+	{Section: "platform", Key: "adapter", Allowed: "the name of an adapter that is built in", Use: "adapter that translates the interfaces of a platform; empty: none",
+		set: text(func(s *Settings) *string { return &s.Adapter }, validName)},
 	{Section: "platform", Key: "rating_url", Allowed: "an http or https URL", Use: "rating service; empty: none",
 		set: text(func(s *Settings) *string { return &s.RatingURL }, validURL)},
 	{Section: "platform", Key: "weight_store_url", Allowed: "an http or https URL", Use: "weight store; empty: none",
 		set: text(func(s *Settings) *string { return &s.WeightStoreURL }, validURL)},
+	{Section: "instance", Key: "memory_limit_mb", Allowed: "megabytes, from 32 to 1048576",
+		Use: "memory that the process may use; empty: no limit", set: number(func(s *Settings) *int { return &s.MemoryLimitMB }, 32, 1<<20)},
+	{Section: "log", Key: "lines_per_second", Default: "2000", Allowed: "a number from 10 to 100000",
+		Use: "log lines a second, over which lines are dropped and counted", set: number(func(s *Settings) *int { return &s.LogLinesPerSecond }, 10, 100_000)},
 	{Section: "log", Key: "level", Default: "info", Allowed: "debug, info, warn or error", Use: "least level that is logged",
 		set: func(s *Settings, v string) bool { return s.LogLevel.UnmarshalText([]byte(v)) == nil && isLevel(v) }},
 }
@@ -159,6 +182,17 @@
 	return len(s.Replicas) <= maxReplicas
 }
 
+func setSeeds(s *Settings, v string) bool {
+	for item := range strings.SplitSeq(v, ",") {
+		seed, err := netip.ParseAddrPort(strings.TrimSpace(item))
+		if err != nil {
+			return false
+		}
+		s.SeedHosts = append(s.SeedHosts, seed.Addr())
+	}
+	return len(s.SeedHosts) <= maxReplicas
+}
+
 func validName(v string) bool {
 	return v != "" && strings.IndexFunc(v, func(r rune) bool {
 		return (r < 'a' || r > 'z') && (r < 'A' || r > 'Z') && (r < '0' || r > '9') && r != '-' && r != '_'
--- a/server/settings/settings.go
+++ b/server/settings/settings.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"net/netip"
 	"strings"
 	"time"
 
@@ -36,14 +37,23 @@
 	PeerListen     string
 	AnnounceListen string
 	MetricsListen  string
+	// ReadinessListen serves the readiness question only; empty: none.
+	ReadinessListen string
 	// CallerAdvertise and PeerAdvertise are what other instances connect to. Default: the listen addresses.
 	CallerAdvertise string
 	PeerAdvertise   string
 
+	// Replicas are the control replicas of control.replicas, or those that control.seeds names.
 	Replicas []Replica
+	// SeedHosts are the hosts of some control replicas; empty when control.replicas lists all of them.
+	SeedHosts []netip.Addr
+	// ToleratedLosses is the number of data folders that may be lost at once. Default 0.
+	ToleratedLosses int
 	// Bootstrap starts a new group on empty data folders. Default false: an empty folder rejoins as a learner.
 	Bootstrap bool
 
+	// PeerAuthentication is "secret" or "network".
+	PeerAuthentication  string
 	PeerSecretFile      string
 	OperatorTokenSHA256 string
 
@@ -58,6 +68,16 @@
 	RatingURL        string
 	WeightStoreURL   string
 	LogLevel         slog.Level
+	// LogLinesPerSecond bounds the log; further lines are dropped and counted.
+	LogLinesPerSecond int
+	// Adapter names the adapter of the platform; empty: none.
+	Adapter string
+	// RevocationLimit is the time within which a revoked key must stop working everywhere; 0: MaxViewAge alone decides.
+	RevocationLimit time.Duration
+	// StopGrace is the time between SIGTERM and the end of the process by force; 0: unbounded.
+	StopGrace time.Duration
+	// MemoryLimitMB is the memory that the process may use, in MB; 0: unbounded.
+	MemoryLimitMB int
 }
 
 // Fault is one refused setting.
@@ -141,37 +161,72 @@
 	if s.Control && s.OperatorListen == "" {
 		faults = append(faults, &Fault{file, "listen", "operators", "", "host:port, as the role control serves operators"})
 	}
-	if s.Control && s.OperatorTokenSHA256 == "" {
+	if (len(s.Replicas) == 0) == (len(s.SeedHosts) == 0) {
+		faults = append(faults, &Fault{file, "control", "replicas", "", "either control.replicas or control.seeds"})
+	}
+	if s.PeerAuthentication == "secret" && s.PeerSecretFile == "" {
+		faults = append(faults, &Fault{file, "secrets", "peer_secret_file", "", "a file, as peer_authentication is secret"})
+	}
+	if s.Control && s.OperatorTokenSHA256 == "" && s.Adapter == "" {
 		faults = append(faults, &Fault{file, "secrets", "operator_token_sha256", "", "a SHA-256 in hexadecimal, as the role control serves operators"})
 	}
 	if s.Entry && s.CallerListen == "" {
 		faults = append(faults, &Fault{file, "listen", "callers", "", "host:port, as the role entry serves callers"})
 	}
-	if s.Bootstrap && !s.Control {
+	if s.Bootstrap && !s.Control && len(s.SeedHosts) == 0 {
 		faults = append(faults, &Fault{file, "control", "bootstrap", "true", "false, as this process is no control replica"})
 	}
-	if s.Control && s.Bootstrap && !s.isReplica() {
+	if s.Control && s.Bootstrap && len(s.SeedHosts) == 0 && !s.IsSeed() {
 		faults = append(faults, &Fault{file, "control", "replicas", s.InstanceID, "a list that contains this instance"})
 	}
 	return faults
 }
 
-func (s *Settings) isReplica() bool {
+func (s *Settings) fillDerived() {
+	if s.CallerAdvertise == "" {
+		s.CallerAdvertise = s.CallerListen
+	}
+	if s.PeerAdvertise == "" {
+		s.PeerAdvertise = s.PeerListen
+	}
+	if s.RevocationLimit > 0 {
+		s.MaxViewAge = min(s.MaxViewAge, s.RevocationLimit-revocationMargin)
+	}
+	if peers, err := netip.ParseAddrPort(s.PeerAdvertise); err == nil {
+		for _, host := range s.SeedHosts {
+			s.Replicas = append(s.Replicas, Replica{ID: host.String(), Address: netip.AddrPortFrom(host, peers.Port()).String()})
+		}
+	}
+}
+
+// revocationMargin covers the way of a request from its caller to the check of its key.
+const revocationMargin = 500 * time.Millisecond
+
+// ReplicaID returns the id of this process as a control replica. With seeds it is the host, as that is all that instances
+// know of each other before they have talked.
+func (s *Settings) ReplicaID() string {
+	if peers, err := netip.ParseAddrPort(s.PeerAdvertise); err == nil && len(s.SeedHosts) > 0 {
+		return peers.Addr().String()
+	}
+	return s.InstanceID
+}
+
+// IsSeed reports whether this process is one of the control replicas that the settings name.
+func (s *Settings) IsSeed() bool {
 	for _, r := range s.Replicas {
-		if r.ID == s.InstanceID {
+		if r.ID == s.ReplicaID() {
 			return true
 		}
 	}
 	return false
 }
 
-func (s *Settings) fillDerived() {
-	if s.CallerAdvertise == "" {
-		s.CallerAdvertise = s.CallerListen
-	}
-	if s.PeerAdvertise == "" {
-		s.PeerAdvertise = s.PeerListen
+// GroupSize returns the number of voters that the control group grows to; 0: operators decide.
+func (s *Settings) GroupSize() int {
+	if len(s.SeedHosts) == 0 {
+		return 0
 	}
+	return 2*s.ToleratedLosses + 1
 }
 
 // ReplicaAddresses returns the peer addresses of the control replicas.
