--- a/api/control/messages.go
+++ b/api/control/messages.go
@@ -287,8 +287,10 @@
 	// Service and SoftwareVersion name the pool and the software of the backend server of a routed request.
 	Service         string
 	SoftwareVersion string
-	// DurationMillis is the sum of the times from dispatch to the end over the attempts without failure, in milliseconds.
-	DurationMillis int64
+	// LogFirstSum and LogFirstSquares add up the natural logarithm of the time to the first byte in milliseconds, and its
+	// square, over the Timed attempts of routed requests.
+	LogFirstSum, LogFirstSquares float64
+	Timed                        int
 	// RatingSum and Ratings add up the scores (0 to 1) that the rating service gave; LowRatings counts those under the target.
 	RatingSum  float64
 	Ratings    int
--- a/server/controlsvc/operator.go
+++ b/server/controlsvc/operator.go
@@ -38,6 +38,8 @@
 // CallOperatorAPI calls the operator API from inside the process and returns status and body, for an adapter that has a
 // listener of its own. A follower passes the request on to the leader.
 func (s *Service) CallOperatorAPI(ctx context.Context, method, target string, body []byte) (int, []byte) {
+	// The caller's own router must not leave its position in the path to the one of the operator API.
+	ctx = context.WithValue(ctx, chi.RouteCtxKey, nil)
 	r, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
 	if err != nil {
 		s.Logger.Error("operator call not built", "target", target, "error", err)
--- a/server/daemon/control.go
+++ b/server/daemon/control.go
@@ -24,7 +24,7 @@
 )
 
 var controlConstructors = []any{
-	newLedger, newState, newReplica, newProposer, newAllocator, fleet.NewTable, newLifecycle, newFleetRatings, newRollout, newEngineOrder, newService,
+	newLedger, newState, newReplica, newProposer, newAllocator, fleet.NewTable, newLifecycle, newFleetRatings, newRollout, newServiceRollout, newEngineOrder, newService,
 }
 
 func newLedger(s *settings.Settings) (*ledger.Ledger, error) {
@@ -91,6 +91,12 @@
 	return rollout.New(state, proposer, lives, recorder, logger)
 }
 
+func newServiceRollout(
+	state *controlstate.State, proposer *controlsvc.LogProposer, recorder event.Recorder, logger *slog.Logger,
+) *rollout.ServiceController {
+	return rollout.NewServiceController(state, proposer, recorder, logger)
+}
+
 func newEngineOrder(
 	s *settings.Settings, table *fleet.Table, state *controlstate.State, proposer *controlsvc.LogProposer, log *replica.Replica,
 	recorder event.Recorder, logger *slog.Logger,
@@ -111,13 +117,13 @@
 func newService(
 	s *settings.Settings, log *replica.Replica, state *controlstate.State, proposer *controlsvc.LogProposer,
 	allocator *limits.Allocator, table *fleet.Table, lives *lifecycle.Controller, rollouts *rollout.Controller,
-	quality *ratings.Fleet, orders *engineorder.Controller, recorder event.Recorder, clock *event.Clock,
+	services *rollout.ServiceController, quality *ratings.Fleet, orders *engineorder.Controller, recorder event.Recorder, clock *event.Clock,
 	pool *peer.Pool, identity controlclient.Identity, logger *slog.Logger,
 ) *controlsvc.Service {
 	return controlsvc.New(controlsvc.Config{
 		Log: log, State: state, Proposer: proposer, Allocator: allocator, FleetTable: table, Ratings: quality,
-		OutcomeSinks:      []controlsvc.OutcomeSink{lives, rollouts, quality},
-		LeaderControllers: []controlsvc.LeaderController{lives, rollouts, quality, orders},
+		OutcomeSinks:      []controlsvc.OutcomeSink{lives, rollouts, services, quality},
+		LeaderControllers: []controlsvc.LeaderController{lives, rollouts, services, quality, orders},
 		Recorder:          recorder, Clock: clock, Peers: pool, Identity: identity, PeerAddress: s.PeerAdvertise, Logger: logger,
 		ToleratedLosses: s.ToleratedLosses,
 	})
--- a/server/daemon/entry.go
+++ b/server/daemon/entry.go
@@ -41,11 +41,15 @@
 		Router: entry.RouterFuncs{Version: routing.ChooseVersion, Server: routing.ChooseServer},
 		Limits: holder, Budget: retry.NewBudget(), Recorder: recorder, Registerer: registerer, Log: logger,
 		RatingURL: s.RatingURL, OnRating: observe(estimator),
+		RoutedRetryPart: budgetShare * s.RetryRatio, RoutedRetryFree: budgetShare * s.RetrySlack, SureConfidence: s.SureConfidence,
 		Dialect: adapter.Dialect(), ServeLeaving: servesLeaving(s),
 		MaxViewAge: s.MaxViewAge, MaxBody: int64(s.MaxBodyBytes), RequestLimit: s.RequestTimeLimit,
 	})
 }
 
+// budgetShare is the part of the fleet's retry budget that entry instances use, as their windows begin at different times.
+const budgetShare = 0.8
+
 // leavingShare is the part of the grace of a stop, in percent, in which new requests are still served: a load balancer that
 // asks each second and wants two misses needs up to 3 s of 8.
 const leavingShare = 45
--- a/server/entry/config.go
+++ b/server/entry/config.go
@@ -82,9 +82,11 @@
 	// Dialect reads and writes the headers of routed requests. Default: the product's own.
 	Dialect Dialect
 	// RoutedRetryPart is the share of the routed requests of a service within 10 s that may be sent once more, and
-	// RoutedRetryFree the number of retries within 10 s beside that. Defaults 0.1 and 3.
+	// RoutedRetryFree the number of retries within 10 s beside that, over all entry instances. Defaults 0.1 and 3.
 	RoutedRetryPart float64
 	RoutedRetryFree float64
+	// SureConfidence is the confidence, 0 to 100, from which on the answer of a smaller model is delivered. Default 60.
+	SureConfidence int
 	// ServeLeaving is how long routed requests are still served after Drain began: the load balancer sends new ones until it
 	// has noticed. Default 0.
 	ServeLeaving time.Duration
@@ -131,6 +133,7 @@
 	defaultTo(&c.ControlTimeout, 3*time.Second)
 	defaultTo(&c.RoutedRetryPart, retry.Part)
 	defaultTo(&c.RoutedRetryFree, retry.Free)
+	defaultTo(&c.SureConfidence, 60)
 	if c.Dialect == nil {
 		c.Dialect = nativeDialect{}
 	}
--- a/server/entry/dispatch.go
+++ b/server/entry/dispatch.go
@@ -37,6 +37,8 @@
 	failStatus    failureKind = "status"
 	failBusy      failureKind = "busy"
 	failCrossed   failureKind = "crossed"
+	// failUnsure is an answer that was dropped because a larger model will do better.
+	failUnsure failureKind = "unsure"
 )
 
 // attemptError is the end of an attempt without a whole answer.
--- a/server/entry/handler.go
+++ b/server/entry/handler.go
@@ -39,6 +39,7 @@
 
 	// balance is what this instance knows of the backend servers of routed requests.
 	balance  *balance.Tracker
+	bound    *boundSessions
 	budgetMu sync.Mutex // guards budgets
 	// budgets holds the retry budget of each service.
 	budgets map[string]*retry.Budget
@@ -76,7 +77,7 @@
 		bills: newBiller(&cfg, m), sessions: newSessionCache(cfg.SessionCache),
 		answers: newAnswerStore(cfg.AnswerRetention, cfg.AnswerMemory, m), queue: newWaitQueue(cfg.MaxWaiting, m),
 		outcomes: newOutcomeCounts(), latency: newLatencyWatch(), crashes: newCrashCache(), running: newRunningAttempts(),
-		balance: balance.NewTracker(), budgets: map[string]*retry.Budget{},
+		balance: balance.NewTracker(), bound: newBoundSessions(), budgets: map[string]*retry.Budget{},
 		idle: make(chan struct{}), stop: stop,
 	}
 	h.slots = newSlotHolder(&h.cfg)
--- a/server/entry/routed_log.go
+++ b/server/entry/routed_log.go
@@ -14,6 +14,7 @@
 // logPlacement says why a request goes to a backend server.
 func (h *Handler) logPlacement(rq *request, server *control.BackendServer, c *balance.Candidate, candidates int, snap *routing.Snapshot) {
 	h.cfg.Log.LogAttrs(context.Background(), slog.LevelInfo, "server_chosen", slog.String("request", rq.id), slog.String("route", rq.routed.route.Name),
+		slog.String("session", rq.route.Session), slog.String("software", server.SoftwareVersion),
 		slog.String("backend_server", server.ID), slog.String("model", rq.routed.model), slog.Int("attempt", rq.attempts+1),
 		slog.Float64("load", c.Load), slog.Bool("cold", c.Cold), slog.Float64("doubt", c.Doubt), slog.Float64("slowness", c.Slowness),
 		slog.Int("cached_tokens", c.CachedTokens), slog.Int("candidates", candidates), slog.Uint64("revision", snap.View.Revision),
@@ -24,7 +25,7 @@
 // logAnswer says how an attempt was answered.
 func (h *Handler) logAnswer(x *exchange, outcome string) {
 	h.cfg.Log.Info(outcome, "request", x.rq.id, "route", x.rq.routed.route.Name, "backend_server", x.server.ID,
-		"status", x.response.StatusCode, "attempts", x.rq.attempts, "took", time.Since(x.rq.start))
+		"status", x.response.StatusCode, "attempts", x.rq.attempts, "model", x.rq.routed.model, "confidence", x.h.cfg.Dialect.ReadAnswer(x.response).Confidence, "took", time.Since(x.rq.start))
 }
 
 // logRefusal says why a request was not answered by a backend server.
--- a/server/entry/routed_outcome.go
+++ b/server/entry/routed_outcome.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math"
 	"time"
 
 	"clementinetray/api/control"
@@ -16,21 +17,23 @@
 
 // countRoutedAnswer counts an attempt that was answered. first is the time to the answer or to the first event.
 func (h *Handler) countRoutedAnswer(x *exchange, first time.Duration) {
-	took := time.Since(x.began)
+	log := math.Log(max(float64(first.Microseconds())/1000, 1))
 	h.outcomes.update(routedKey(x.rq, x.server), func(c *control.Outcome) {
 		c.Requests++
 		c.FirstTokenMillis += first.Milliseconds()
-		c.DurationMillis += took.Milliseconds()
+		c.Timed++
+		c.LogFirstSum += log
+		c.LogFirstSquares += log * log
 		if x.response.StatusCode >= 500 {
 			c.Failures++
 		}
 	})
 }
 
-// countRoutedFailure counts a failed attempt. One that the caller ended, that found no room or that another backend server
-// got says nothing of the software.
+// countRoutedFailure counts a failure of the software: an answer that says so or none in time. A broken connection says more
+// of the machine, and there is one for each request that runs on a backend server that crashes.
 func (h *Handler) countRoutedFailure(rq *request, server *control.BackendServer, f *attemptError) {
-	if f.kind == failCancelled || f.notRun || f.kind == failDial {
+	if f.kind != failStatus && f.kind != failTimeout || f.notRun {
 		return
 	}
 	h.outcomes.update(routedKey(rq, server), func(c *control.Outcome) {
--- a/server/entry/routed_place.go
+++ b/server/entry/routed_place.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"clementinetray/api/catalogue"
 	"clementinetray/api/control"
 	"clementinetray/api/problem"
 	"clementinetray/server/balance"
@@ -31,9 +30,9 @@
 		return nil, problem.New(problem.NotFound, "the route was removed")
 	}
 	pool := snap.View.Catalogue.PoolOf(call.service)
-	h.chooseModel(rq, &pool)
+	rq.chooseModel()
 	size := rq.size()
-	rows, servers := routableRows(snap, rq)
+	rows, servers := routableRows(snap, rq, h.boundVersion(rq, snap.Now))
 	if len(rows) == 0 {
 		return nil, problem.New(problem.NoBackendServer, "no backend server takes work for "+call.service).After(time.Second)
 	}
@@ -47,6 +46,7 @@
 		return nil, problem.New(problem.Overloaded, "each backend server of "+call.service+" is cold").After(time.Second)
 	}
 	server := servers[best]
+	h.bindVersion(rq, server, snap.Now)
 	if candidates[best].Load >= maxRoutedLoad {
 		return nil, problem.New(problem.Overloaded, "each backend server of "+call.service+" is full").After(time.Second)
 	}
@@ -77,12 +77,30 @@
 }
 
 // routableRows returns the backend servers of the request's service that take new work.
-func routableRows(snap *routing.Snapshot, rq *request) ([]balance.Row, []*control.BackendServer) {
+// Those of the software version that the request should run on come before the others that it may run on.
+func routableRows(snap *routing.Snapshot, rq *request, bound string) ([]balance.Row, []*control.BackendServer) {
+	software := routing.SoftwareOf(snap.View, rq.routed.service, rq.shareKey(), bound)
+	rows, servers := rowsWhere(snap, rq, software.Prefers)
+	if len(rows) == 0 {
+		rows, servers = rowsWhere(snap, rq, software.Allows)
+	}
+	return rows, servers
+}
+
+// shareKey is what decides the request's share in a roll-out: its session, or itself without one.
+func (rq *request) shareKey() string {
+	if rq.route.Session != "" {
+		return rq.workspaceName() + "/" + rq.route.Session
+	}
+	return rq.id
+}
+
+func rowsWhere(snap *routing.Snapshot, rq *request, wanted func(version string) bool) ([]balance.Row, []*control.BackendServer) {
 	var rows []balance.Row
 	var servers []*control.BackendServer
 	since := snap.Now.Sub(snap.Fleet.ReceivedAt)
 	for _, b := range snap.Fleet.ByService[rq.routed.service] {
-		if !routing.Routable(snap, b) || rq.route.Exclude[b.ID] {
+		if !routing.Routable(snap, b) || rq.route.Exclude[b.ID] || !wanted(b.SoftwareVersion) {
 			continue
 		}
 		heard := b.LoadAge + since
@@ -105,13 +123,23 @@
 	}
 }
 
-// chooseModel decides for a model when the route leaves that to the router.
-func (h *Handler) chooseModel(rq *request, pool *catalogue.Pool) {
+// chooseModel decides for a first model when the route leaves that to the router: the smallest.
+func (rq *request) chooseModel() {
+	if call := rq.routed; len(call.route.Models) > 0 && call.model == "" {
+		call.model = call.route.Models[0]
+	}
+}
+
+// largerModel returns the model that the request goes on to, because the smaller one doubts its answer and nothing of it
+// was delivered. It takes the attempt from the retry budget.
+func (h *Handler) largerModel(rq *request, confidence int) string {
 	call := rq.routed
-	if len(call.route.Models) == 0 || call.model != "" || pool.Engine == nil {
-		return
+	models := call.route.Models
+	if confidence < 0 || confidence >= h.cfg.SureConfidence || call.begun || len(models) == 0 || call.model == models[len(models)-1] ||
+		rq.tries >= rq.maxTries() || !h.routedBudget(call.service).TryRetry(time.Now()) {
+		return ""
 	}
-	call.model = call.route.Models[len(call.route.Models)-1]
+	return models[len(models)-1]
 }
 
 // routedBudget returns the retry budget of a service.
@@ -120,9 +148,12 @@
 	defer h.budgetMu.Unlock()
 	b := h.budgets[service]
 	if b == nil {
-		b = retry.NewBudgetOf(h.cfg.RoutedRetryPart, h.cfg.RoutedRetryFree)
+		b = retry.NewBudget()
 		h.budgets[service] = b
 	}
+	// The free retries are those of all entry instances together.
+	members := max(len(h.cfg.Board.Fleet.Load().Members), 1)
+	b.SetLimits(h.cfg.RoutedRetryPart, h.cfg.RoutedRetryFree/float64(members))
 	return b
 }
 
--- a/server/entry/routed_run.go
+++ b/server/entry/routed_run.go
@@ -46,6 +46,11 @@
 	if f := x.checkRouted(said); f != nil {
 		return f
 	}
+	if next := h.largerModel(rq, said.Confidence); next != "" {
+		f := x.fail(&attemptError{kind: failUnsure, err: Error.New("confidence %d of model %s", said.Confidence, call.model)})
+		call.model = next
+		return f
+	}
 	if call.route.Kind == catalogue.KindStream && x.response.StatusCode == http.StatusOK {
 		return h.relayStream(w, x)
 	}
@@ -93,6 +98,11 @@
 // afterRoutedFailure decides whether the request goes to another backend server, and returns the refusal when it does not.
 func (h *Handler) afterRoutedFailure(ctx context.Context, rq *request, server *control.BackendServer, f *attemptError) *problem.Problem {
 	call, now := rq.routed, time.Now()
+	if f.kind == failUnsure {
+		// The answer was dropped by choice; the budget is taken already.
+		rq.mayHaveRun = true
+		return nil
+	}
 	h.countRoutedFailure(rq, server, f)
 	if f.kind != failCancelled && f.kind != failTimeout && !f.notRun {
 		h.balance.Failed(now, server.ID)
--- /dev/null
+++ b/server/entry/routed_session.go
@@ -0,0 +1,67 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"clementinetray/api/control"
+)
+
+const (
+	// sessionPause is the longest pause between two requests of one session.
+	sessionPause = 10 * time.Second
+	// maxBoundSessions bounds the sessions whose software version is remembered.
+	maxBoundSessions = 20_000
+)
+
+// boundSessions remembers the software version that each session ran on last.
+type boundSessions struct {
+	mu    sync.Mutex // guards byKey
+	byKey map[string]boundSession
+}
+
+type boundSession struct {
+	service, version string
+	at               time.Time
+}
+
+func newBoundSessions() *boundSessions { return &boundSessions{byKey: map[string]boundSession{}} }
+
+func (s *boundSessions) get(key, service string, now time.Time) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if b, ok := s.byKey[key]; ok && b.service == service && now.Sub(b.at) <= sessionPause {
+		return b.version
+	}
+	return ""
+}
+
+func (s *boundSessions) put(key string, b boundSession) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.byKey) >= maxBoundSessions {
+		for k, old := range s.byKey {
+			if b.at.Sub(old.at) > sessionPause {
+				delete(s.byKey, k)
+			}
+		}
+		if len(s.byKey) >= maxBoundSessions {
+			clear(s.byKey)
+		}
+	}
+	s.byKey[key] = b
+}
+
+// boundVersion returns the software version that the request's session runs on, empty when it is not known here.
+func (h *Handler) boundVersion(rq *request, now time.Time) string {
+	if rq.route.Session == "" {
+		return ""
+	}
+	return h.bound.get(rq.shareKey(), rq.routed.service, now)
+}
+
+func (h *Handler) bindVersion(rq *request, server *control.BackendServer, now time.Time) {
+	if rq.route.Session != "" {
+		h.bound.put(rq.shareKey(), boundSession{service: rq.routed.service, version: server.SoftwareVersion, at: now})
+	}
+}
--- a/server/retry/budget.go
+++ b/server/retry/budget.go
@@ -43,6 +43,13 @@
 // NewBudgetOf returns an unused budget with another share and another number of free retries within Window.
 func NewBudgetOf(part, free float64) *Budget { return &Budget{part: part, free: free} }
 
+// SetLimits changes the share and the number of free retries within Window.
+func (b *Budget) SetLimits(part, free float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.part, b.free = part, free
+}
+
 // Request counts a first attempt.
 func (b *Budget) Request(now time.Time) {
 	b.mu.Lock()
--- a/server/settings/fields.go
+++ b/server/settings/fields.go
@@ -89,6 +89,15 @@
 	{Section: "entry", Key: "stop_grace", Allowed: "a duration from 1s to 1h",
 		Use: "time after SIGTERM at which the process is killed: open requests are ended before; empty: a stop waits for each of them",
 		set: duration(func(s *Settings) *time.Duration { return &s.StopGrace }, time.Second, time.Hour)},
+	{Section: "entry", Key: "retry_ratio", Default: "0.1", Allowed: "a number from 0 to 1",
+		Use: "share of the routed requests of a service within 10 s that may be sent once more",
+		set: ratio(func(s *Settings) *float64 { return &s.RetryRatio }, 0, 1)},
+	{Section: "entry", Key: "retry_slack", Default: "30", Allowed: "a number from 0 to 10000",
+		Use: "repeated routed requests of a service within 10 s beside retry_ratio, over all entry instances",
+		set: ratio(func(s *Settings) *float64 { return &s.RetrySlack }, 0, 10_000)},
+	{Section: "entry", Key: "sure_confidence", Default: "60", Allowed: "a number from 1 to 100",
+		Use: "confidence from which on the answer of a smaller model is delivered without asking a larger one",
+		set: number(func(s *Settings) *int { return &s.SureConfidence }, 1, 100)},
 	{Section: "platform", Key: "adapter", Allowed: "the name of an adapter that is built in", Use: "adapter that translates the interfaces of a platform; empty: none",
 		set: text(func(s *Settings) *string { return &s.Adapter }, validName)},
 	{Section: "platform", Key: "rating_url", Allowed: "an http or https URL", Use: "rating service; empty: none",
@@ -140,6 +149,12 @@
 	}
 }
 
+func ratio(target func(*Settings) *float64, least, most float64) func(*Settings, string) bool {
+	return func(s *Settings, v string) bool {
+		return parse(target(s), v, func(v string) (float64, error) { return strconv.ParseFloat(v, 64) }) && *target(s) >= least && *target(s) <= most
+	}
+}
+
 func number(target func(*Settings) *int, least, most int) func(*Settings, string) bool {
 	return func(s *Settings, v string) bool {
 		return parse(target(s), v, strconv.Atoi) && *target(s) >= least && *target(s) <= most
--- a/server/settings/settings.go
+++ b/server/settings/settings.go
@@ -76,6 +76,10 @@
 	RevocationLimit time.Duration
 	// StopGrace is the time between SIGTERM and the end of the process by force; 0: unbounded.
 	StopGrace time.Duration
+	// RetryRatio and RetrySlack bound the repeated routed requests of a service over all entry instances.
+	RetryRatio, RetrySlack float64
+	// SureConfidence is the confidence, 1 to 100, from which on the answer of a smaller model is delivered.
+	SureConfidence int
 	// MemoryLimitMB is the memory that the process may use, in MB; 0: unbounded.
 	MemoryLimitMB int
 }
