--- a/server/daemon/control.go
+++ b/server/daemon/control.go
@@ -1,9 +1,11 @@
 package daemon
 
 import (
+	"errors"
 	"log/slog"
 	"path/filepath"
 	"slices"
+	"syscall"
 	"time"
 
 	"clementinetray/api/control"
@@ -45,13 +47,28 @@
 	for _, r := range s.Replicas {
 		members[r.ID] = r.Address
 	}
-	return replica.Start(replica.Config{
+	return startReplica(replica.Config{
 		ID: s.ReplicaID(), Address: s.PeerAdvertise, Members: members, Bootstrap: s.Bootstrap, DataDir: s.DataDir,
 		GroupSize: s.GroupSize(), Peers: client.Replicas,
 		Pool: pool, Server: server, StateMachine: state, Logger: logger, Recorder: recorder, Clock: clock,
 	})
 }
 
+// diskPause is the pause before a data folder that refused a write is tried again.
+const diskPause = 500 * time.Millisecond
+
+// startReplica waits while the disk takes no more bytes: a process that ends each time would only be started again.
+func startReplica(c replica.Config) (*replica.Replica, error) {
+	for {
+		r, err := replica.Start(c)
+		if !errors.Is(err, syscall.ENOSPC) && !errors.Is(err, syscall.EIO) {
+			return r, err
+		}
+		c.Logger.Error("data_folder_refuses_writes", "folder", c.DataDir, "error", err)
+		time.Sleep(diskPause)
+	}
+}
+
 func newProposer(log *replica.Replica) *controlsvc.LogProposer { return controlsvc.NewProposer(log) }
 
 func newAllocator(s *settings.Settings) *limits.Allocator { return limits.NewAllocator(s.MaxEntries) }
--- a/server/daemon/daemon.go
+++ b/server/daemon/daemon.go
@@ -126,6 +126,7 @@
 
 func (d *daemon) startTasks(ctx context.Context) {
 	d.task(func() { d.fail(d.Peers.Serve()) })
+	d.task(func() { d.watchSettings(ctx) })
 	d.task(func() { d.Syncer.Run(ctx) })
 	d.task(func() { d.Ratings.run(ctx) })
 	d.task(func() { d.Limits.run(ctx) })
--- a/server/daemon/entry.go
+++ b/server/daemon/entry.go
@@ -42,7 +42,7 @@
 		Limits: holder, Budget: retry.NewBudget(), Recorder: recorder, Registerer: registerer, Log: logger,
 		RatingURL: s.RatingURL, OnRating: observe(estimator),
 		RoutedRetryPart: budgetShare * s.RetryRatio, RoutedRetryFree: budgetShare * s.RetrySlack, SureConfidence: s.SureConfidence,
-		Dialect: adapter.Dialect(), ServeLeaving: servesLeaving(s),
+		Dialect: adapter.Dialect(), ServeLeaving: s.StopGrace * leavingShare / 100, ServeLeavingStreams: s.StopGrace * leavingStreamsShare / 100,
 		MaxViewAge: s.MaxViewAge, MaxBody: int64(s.MaxBodyBytes), RequestLimit: s.RequestTimeLimit,
 	})
 }
@@ -50,11 +50,12 @@
 // budgetShare is the part of the fleet's retry budget that entry instances use, as their windows begin at different times.
 const budgetShare = 0.8
 
-// leavingShare is the part of the grace of a stop, in percent, in which new requests are still served: a load balancer that
-// asks each second and wants two misses needs up to 3 s of 8.
-const leavingShare = 45
-
-func servesLeaving(s *settings.Settings) time.Duration { return s.StopGrace * leavingShare / 100 }
+// Parts of the grace of a stop, in percent, in which new requests are still served. A load balancer that asks each second
+// and wants two misses sends new ones for up to 3 s of 8; callers keep open connections longer.
+const (
+	leavingShare        = 70
+	leavingStreamsShare = 35
+)
 
 func observe(estimator *ratings.Estimator) func(string, catalogue.VersionRef, float64, bool) {
 	return func(class string, version catalogue.VersionRef, score float64, ok bool) {
--- a/server/entry/config.go
+++ b/server/entry/config.go
@@ -90,6 +90,8 @@
 	// ServeLeaving is how long routed requests are still served after Drain began: the load balancer sends new ones until it
 	// has noticed. Default 0.
 	ServeLeaving time.Duration
+	// ServeLeavingStreams is the same for streams, which must end before the process does. Default 0.
+	ServeLeavingStreams time.Duration
 	// ControlTimeout bounds each write to the control group. Default 3 s, the bound on time without a leader.
 	ControlTimeout time.Duration
 }
--- a/server/entry/conn.go
+++ b/server/entry/conn.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"clementinetray/server/peer"
 )
 
 // errSealed is returned by writes to a connection after its attempt was given up.
@@ -107,19 +109,21 @@
 }
 
 const (
-	dialTimeout = 2 * time.Second
+	// dialTimeout covers one lost packet of the handshake, which is sent again after a second.
+	dialTimeout = 1200 * time.Millisecond
 	// idleTimeout is short because an idle connection that its server closes costs an attempt.
-	idleTimeout     = 15 * time.Second
-	maxIdlePerHost  = 64
-	keepAliveIdle   = 5 * time.Second
-	keepAlivePeriod = 2 * time.Second
-	keepAliveCount  = 3
+	idleTimeout    = 15 * time.Second
+	maxIdlePerHost = 64
+	// A backend server that went dark is noticed within keepAliveIdle plus peer.SilenceLimit, also while it should answer.
+	keepAliveIdle   = time.Second
+	keepAlivePeriod = time.Second
+	keepAliveCount  = 2
 )
 
 // newTransport returns a transport to backend servers. fresh makes it use each connection once, which non-idempotent calls
 // need: a reset of a kept connection can't be told from a lost answer.
 func newTransport(fresh bool) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+	dialer := &net.Dialer{Timeout: dialTimeout, Control: peer.LimitSilence, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAlivePeriod, Count: keepAliveCount,
 	}}
 	return &http.Transport{
--- a/server/entry/drain.go
+++ b/server/entry/drain.go
@@ -50,6 +50,20 @@
 	}
 }
 
+// enterRouted is enter for a routed request. A stream that begins late in a stop would be cut, so it is refused earlier.
+func (h *Handler) enterRouted(stream bool) *problem.Problem {
+	h.mu.Lock()
+	late := stream && h.leaving && time.Since(h.leavingSince) >= h.cfg.ServeLeavingStreams
+	h.mu.Unlock()
+	if late {
+		return problem.New(problem.Stopping, "the instance is stopping and a stream may outlast it").Unrun().After(stoppingRetry)
+	}
+	return h.enter()
+}
+
+// stoppingRetry is the time after which a caller may come back through another instance.
+const stoppingRetry = 50 * time.Millisecond
+
 func (h *Handler) isLeaving() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -60,7 +74,7 @@
 // noticed.
 func (h *Handler) serveLeaving(ctx context.Context) {
 	h.mu.Lock()
-	h.leaving = true
+	h.leaving, h.leavingSince = true, time.Now()
 	h.mu.Unlock()
 	if h.cfg.ServeLeaving <= 0 {
 		return
--- a/server/entry/handler.go
+++ b/server/entry/handler.go
@@ -53,9 +53,10 @@
 	mu   sync.Mutex // guards open, leaving, draining and idle
 	open int
 	// leaving says that the instance will stop: it is not ready any more. draining says that it refuses new requests.
-	leaving  bool
-	draining bool
-	idle     chan struct{} // closed when draining and nothing is open
+	leaving      bool
+	leavingSince time.Time
+	draining     bool
+	idle         chan struct{} // closed when draining and nothing is open
 
 	stop    context.CancelFunc
 	stopped sync.WaitGroup
--- a/server/entry/routed.go
+++ b/server/entry/routed.go
@@ -50,19 +50,19 @@
 		// The caller's next request must reach another instance.
 		w.Header().Set("Connection", "close")
 	}
-	if p := h.enter(); p != nil {
-		h.refuseRouted(w, nil, p)
-		return
-	}
-	defer h.leave()
+	h.awaitView(r.Context())
 	rq, p := h.admitRouted(r)
 	if rq != nil {
 		defer rq.close()
 	}
+	if p == nil {
+		p = h.enterRouted(rq.routed.route.Kind == catalogue.KindStream)
+	}
 	if p != nil {
 		h.refuseRouted(w, rq, p)
 		return
 	}
+	defer h.leave()
 	h.metrics.requests.WithLabelValues("routed").Inc()
 	body, p := h.readRequestBody(w, r)
 	if p != nil {
@@ -111,8 +111,31 @@
 	return rq, nil
 }
 
+// viewWait is how long a request waits for a view that is fresh enough. A new control leader stands within 1.5 s of the loss of
+// the last one, and callers that are told to come back have only a few tries.
+const viewWait = 1200 * time.Millisecond
+
+// awaitView waits a while for a view that is fresh enough to decide from.
+func (h *Handler) awaitView(ctx context.Context) {
+	until := time.NewTimer(viewWait)
+	defer until.Stop()
+	for {
+		view, changed := h.cfg.Board.View.Watch()
+		if view.View != nil && view.Catalogue != nil && len(view.Catalogue.Routes) > 0 && h.checkView(time.Now()) == nil {
+			return
+		}
+		select {
+		case <-changed:
+		case <-until.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // noViewRetry is the time within which an instance that has just started gets its first view.
-const noViewRetry = 500 * time.Millisecond
+const noViewRetry = time.Second
 
 // authenticateRouted finds the workspace of the caller's key.
 func (h *Handler) authenticateRouted(c *catalogue.Catalogue, rq *request) *problem.Problem {
--- a/server/entry/routed_place.go
+++ b/server/entry/routed_place.go
@@ -130,13 +130,16 @@
 	}
 }
 
+// unsureShare is the part of the retry budget that answers of small models may use up; the rest is for failures.
+const unsureShare = 0.8
+
 // largerModel returns the model that the request goes on to, because the smaller one doubts its answer and nothing of it
 // was delivered. It takes the attempt from the retry budget.
 func (h *Handler) largerModel(rq *request, confidence int) string {
 	call := rq.routed
 	models := call.route.Models
 	if confidence < 0 || confidence >= h.cfg.SureConfidence || call.begun || len(models) == 0 || call.model == models[len(models)-1] ||
-		rq.tries >= rq.maxTries() || !h.routedBudget(call.service).TryRetry(time.Now()) {
+		rq.tries >= rq.maxTries() || !h.routedBudget(call.service).TryShare(time.Now(), unsureShare) {
 		return ""
 	}
 	return models[len(models)-1]
--- a/server/peer/pool.go
+++ b/server/peer/pool.go
@@ -54,7 +54,7 @@
 	if client != nil {
 		return client, nil
 	}
-	dialer := net.Dialer{Timeout: p.dialTimeout}
+	dialer := net.Dialer{Timeout: p.dialTimeout, Control: LimitSilence}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, Error.Wrap(err)
--- a/server/retry/budget.go
+++ b/server/retry/budget.go
@@ -61,12 +61,16 @@
 
 // TryRetry takes one retry from the budget. The oldest bucket may reach back past the window: its retries count, its
 // requests do not.
-func (b *Budget) TryRetry(now time.Time) bool {
+func (b *Budget) TryRetry(now time.Time) bool { return b.TryShare(now, 1) }
+
+// TryShare takes one retry when no more than a share, 0 to 1, of the budget is used with it, so that the rest is left for
+// retries that matter more.
+func (b *Budget) TryShare(now time.Time, share float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	i := b.advance(now)
 	oldest := (i + 1) % buckets
-	if float64(b.retrySum+1) > b.free+b.part*float64(b.requestSum-b.requests[oldest]) {
+	if float64(b.retrySum+1) > share*(b.free+b.part*float64(b.requestSum-b.requests[oldest])) {
 		return false
 	}
 	b.retries[i]++
--- a/server/settings/settings.go
+++ b/server/settings/settings.go
@@ -24,6 +24,9 @@
 
 // Settings are the static settings of one process. They are read once.
 type Settings struct {
+	// File is where the settings were read from.
+	File string
+
 	InstanceID       string
 	AvailabilityZone string
 	Region           string
@@ -102,7 +105,7 @@
 	if err != nil {
 		return nil, Class.Wrap(err)
 	}
-	s := &Settings{}
+	s := &Settings{File: file}
 	var faults errs.Group
 	for _, f := range Fields {
 		faults.Add(f.read(file, source, s))
--- a/server/syncer/syncer.go
+++ b/server/syncer/syncer.go
@@ -68,18 +68,26 @@
 
 // Run syncs until ctx ends.
 func (s *Syncer) Run(ctx context.Context) {
-	ticker := time.NewTicker(Interval)
-	defer ticker.Stop()
 	for {
 		s.Once(ctx)
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-time.After(s.pause()):
 		}
 	}
 }
 
+// staleInterval is the pause between two Sync calls while the view is missing or too old to decide from.
+const staleInterval = 100 * time.Millisecond
+
+func (s *Syncer) pause() time.Duration {
+	if s.stale {
+		return staleInterval
+	}
+	return Interval
+}
+
 // Once makes one Sync call and publishes what it brought.
 func (s *Syncer) Once(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
