--- a/server/balance/balance.go
+++ b/server/balance/balance.go
@@ -23,6 +23,11 @@
 	PromptTokens, OutputTokens int
 	// Model is the model that the engine runs; parts are shared within a model only.
 	Model string
+	// ModelRank is the position of the model among those of the pool, the smallest first, and Models their number; 0 when
+	// the router does not choose between models.
+	ModelRank, Models int
+	// Pace is the time that the model takes for a token as a share of that of the slowest model of the pool, 0 to 1.
+	Pace  float64
 	Parts []PromptPart
 	// Zone is the availability zone of this entry instance.
 	Zone string
@@ -31,8 +36,10 @@
 // Candidate is one backend server as this entry instance knows it now.
 type Candidate struct {
 	ID, Zone string
-	// Load is the estimated share of its capacity that is in use, over all entry instances.
+	// Load is the estimated share of its slots that is in use, over all entry instances.
 	Load float64
+	// Queue is the estimated number of prompt tokens that wait to be read, in tokens of the slowest model.
+	Queue float64
 	// Cold is true while it bears only a low rate; ColdReady says that this instance may send it one request now.
 	Cold, ColdReady bool
 	// Doubt lowers a candidate after failures or silence: 0 none, 1 avoided while there is another.
@@ -44,11 +51,17 @@
 }
 
 const (
+	// queueScale is the number of prompt tokens of the slowest model that weigh as much as all slots: an engine reads them in
+	// about 2 s, which is the time to the first event that callers want.
+	queueScale = 40_000
+	// groupCost keeps requests on the backend servers of their model's group until those have this much more load.
+	groupCost = 0.5
+	// smallGroupShare is the part of a pool that runs the smallest model. Every request runs there first, at a tenth of the
+	// time of the largest model.
+	smallGroupShare = 0.22
 	// otherZoneCost is the score of the way to another availability zone, in units of load: the way costs a few ms and
 	// bytes between zones are charged, so it is worth a small imbalance only.
 	otherZoneCost = 0.06
-	// cachedShareGain is the score of a whole prompt that is cached, in units of load.
-	cachedShareGain = 0.35
 	// homeGain is the score of the candidate that all instances agree on for a prompt that nobody is known to have read.
 	homeGain = 0.12
 	// doubtCost outweighs any load, so that a doubtful candidate is used only when each one is.
@@ -62,12 +75,16 @@
 func Choose(candidates []Candidate, r *Request, salt string) int {
 	best, bestScore := -1, math.Inf(1)
 	home := homeOf(candidates, r)
+	group := groupOf(candidates, r)
 	for i := range candidates {
 		c := &candidates[i]
 		if c.Cold && !c.ColdReady {
 			continue
 		}
 		score := score(c, r, i == home) + tieBreak(salt, c.ID)
+		if group != nil && !group[i] {
+			score += groupCost
+		}
 		if score < bestScore {
 			best, bestScore = i, score
 		}
@@ -76,13 +93,11 @@
 }
 
 func score(c *Candidate, r *Request, home bool) float64 {
-	s := c.Load + c.Doubt*doubtCost + slownessCost*math.Log2(max(c.Slowness, 1))
+	work := float64(r.PromptTokens-c.CachedTokens) * r.Pace
+	s := c.Load + (c.Queue+work)/queueScale + c.Doubt*doubtCost + slownessCost*math.Log2(max(c.Slowness, 1))
 	if c.Zone != r.Zone {
 		s += otherZoneCost
 	}
-	if r.PromptTokens > 0 {
-		s -= cachedShareGain * float64(c.CachedTokens) / float64(r.PromptTokens)
-	}
 	if home {
 		s -= homeGain
 	}
@@ -110,6 +125,30 @@
 	return home
 }
 
+// groupOf marks the backend servers that run the request's model: the smallest model has some of its own, because a small
+// request that shares an engine with the long prompts of a large model waits for those. nil when there is one group.
+func groupOf(candidates []Candidate, r *Request) []bool {
+	small := int(math.Round(smallGroupShare * float64(len(candidates))))
+	if r.Models < 2 || small == 0 {
+		return nil
+	}
+	order := make([]int, len(candidates))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		return cmp.Compare(hash(groupSalt, candidates[a].ID), hash(groupSalt, candidates[b].ID))
+	})
+	group := make([]bool, len(candidates))
+	for at, i := range order {
+		group[i] = (at < small) == (r.ModelRank == 0)
+	}
+	return group
+}
+
+// groupSalt orders backend servers into groups, the same on each instance.
+const groupSalt = "model group"
+
 // sharedKey names the longest beginning of a prompt that other prompts may have too: all parts but the last.
 func sharedKey(parts []PromptPart) string {
 	if len(parts) < 2 {
--- a/server/balance/tracker.go
+++ b/server/balance/tracker.go
@@ -42,14 +42,19 @@
 type Tracker struct {
 	mu      sync.Mutex // guards the fields below
 	servers map[string]*server
+	// meanWork is the running mean of the work of a request, in tokens of the slowest model.
+	meanWork float64
 }
 
 type server struct {
 	running int
-	tokens  int
-	seen    Observation
-	// ownSeen is running at the time of seen.
-	ownSeen  int
+	// queued is the work of requests that were sent here and have no first byte yet, in tokens of the slowest model.
+	queued float64
+	seen   Observation
+	// ownSeen and ownWaiting are running and waiting at the time of seen.
+	ownSeen, ownWaiting int
+	// waiting is the number of requests that have no first byte yet.
+	waiting  int
 	failures int
 	doubted  time.Time
 	latency  float64 // milliseconds, running mean
@@ -94,7 +99,10 @@
 	mean := t.meanLatency(now, rows)
 	for _, row := range rows {
 		s := t.get(row.ID, now)
-		c := Candidate{ID: row.ID, Zone: row.Zone, Load: s.load(now, row.Slots), Slowness: 1, CachedTokens: s.cached(now, r)}
+		c := Candidate{
+			ID: row.ID, Zone: row.Zone, Load: s.load(now, row.Slots), Queue: s.queue(now, t.meanWork), Slowness: 1,
+			CachedTokens: s.cached(now, r),
+		}
 		if row.ColdFor > 0 && cold > 0 {
 			c.Cold, c.ColdReady = true, s.cold.ready(now, cold)
 		}
@@ -140,6 +148,17 @@
 	return (own + others*weight) / float64(max(slots, 1))
 }
 
+// queue estimates the prompt tokens that wait to be read: those of this instance, and as many requests of others as the
+// backend server stated, fading out.
+func (s *server) queue(now time.Time, meanWork float64) float64 {
+	if s.seen.At.IsZero() {
+		return s.queued
+	}
+	weight := float64(observationLife) / float64(observationLife+now.Sub(s.seen.At))
+	others := max(float64(s.seen.Waiting-s.ownWaiting), 0)
+	return s.queued + others*weight*meanWork
+}
+
 // cached returns the number of tokens at the beginning of the prompt that this server has read lately.
 func (s *server) cached(now time.Time, r *Request) int {
 	tokens := 0
@@ -153,26 +172,39 @@
 	return tokens
 }
 
-// Sent notes that a request goes to the backend server. done must be called once when it has ended there.
-func (t *Tracker) Sent(now time.Time, id string, r *Request, cold float64) (done func()) {
+// Sent notes that a request goes to the backend server. begun is to be called when its first byte came, done when it has
+// ended there.
+func (t *Tracker) Sent(now time.Time, id string, r *Request, cold float64) (begun, done func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.get(id, now)
 	s.running++
-	s.tokens += r.PromptTokens
+	work := float64(r.PromptTokens-s.cached(now, r)) * r.Pace
+	s.queued += work
+	s.waiting++
+	t.meanWork += latencyWeight * (work - t.meanWork)
 	if cold > 0 {
 		s.cold.take(now, cold)
 	}
 	s.remember(now, r)
-	var once sync.Once
-	return func() {
-		once.Do(func() {
+	var first, last sync.Once
+	begun = func() {
+		first.Do(func() {
+			t.mu.Lock()
+			defer t.mu.Unlock()
+			s.queued -= work
+			s.waiting--
+		})
+	}
+	done = func() {
+		begun()
+		last.Do(func() {
 			t.mu.Lock()
 			defer t.mu.Unlock()
 			s.running--
-			s.tokens -= r.PromptTokens
 		})
 	}
+	return begun, done
 }
 
 func (s *server) remember(now time.Time, r *Request) {
@@ -196,7 +228,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.get(id, o.At)
-	s.seen, s.ownSeen = o, s.running
+	s.seen, s.ownSeen, s.ownWaiting = o, s.running, s.waiting
 }
 
 // Answered notes the time from dispatch to the first byte of an answer.
--- a/server/controlstate/changes_test.go
+++ b/server/controlstate/changes_test.go
@@ -78,7 +78,7 @@
 		Expect(d.zone(7, "a", "anna", "muc-1", true).Conflict.Diff).To(ConsistOf("base_revision 7 is newer than the current revision 0"))
 	})
 	It("makes no change on a dry run and reports the same differences", func() {
-		c := Command{ApplyCatalogue: &ApplyCatalogue{base(0, "a", "anna"), twoVersions()}}
+		c := Command{ApplyCatalogue: &ApplyCatalogue{ChangeBase: base(0, "a", "anna"), Catalogue: twoVersions()}}
 		dry, err := d.state.DryRun(&c)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(d.state.View().ConfigRevision).To(BeZero())
--- a/server/controlstate/fuzz_test.go
+++ b/server/controlstate/fuzz_test.go
@@ -9,7 +9,7 @@
 // FuzzDecode guards against a command in the log that stops each replica that applies it.
 func FuzzDecode(f *testing.F) {
 	seeds := []Command{
-		{At: epoch, ApplyCatalogue: &ApplyCatalogue{base(0, "a", "anna"), twoVersions()}},
+		{At: epoch, ApplyCatalogue: &ApplyCatalogue{ChangeBase: base(0, "a", "anna"), Catalogue: twoVersions()}},
 		{At: epoch, SetOrder: &SetOrder{ChangeBase: base(0, "a", "anna"), AvailabilityZone: "z", Out: true}},
 		{At: epoch, SetRollout: &SetRollout{Progress: control.RolloutProgress{Model: "m"}}},
 		{At: epoch, PinSession: &control.PinRequest{Workspace: "w", Session: "s", Proposed: ref("v1")}},
--- a/server/controlstate/property_test.go
+++ b/server/controlstate/property_test.go
@@ -137,7 +137,7 @@
 					c.Models[0].Versions = append(c.Models[0].Versions, catalogue.Version{Name: name, Withdrawn: withdrawn[name]})
 				}
 				change := base(s.View().ConfigRevision, fmt.Sprint(index), "anna")
-				applyAll(t, s, &index, epoch, Command{ApplyCatalogue: &ApplyCatalogue{change, c}})
+				applyAll(t, s, &index, epoch, Command{ApplyCatalogue: &ApplyCatalogue{ChangeBase: change, Catalogue: c}})
 			case 1:
 				s = restart(t, s)
 			default:
--- a/server/controlstate/snapshot_test.go
+++ b/server/controlstate/snapshot_test.go
@@ -26,7 +26,7 @@
 		if rng.IntN(3) == 0 {
 			c.Rollouts = nil
 		}
-		return Command{ApplyCatalogue: &ApplyCatalogue{change, c}}
+		return Command{ApplyCatalogue: &ApplyCatalogue{ChangeBase: change, Catalogue: c}}
 	case 1:
 		return Command{SetOrder: &SetOrder{ChangeBase: change, AvailabilityZone: pick("z", 4), Out: rng.IntN(2) == 0}}
 	case 2:
--- a/server/controlstate/state_test.go
+++ b/server/controlstate/state_test.go
@@ -59,7 +59,7 @@
 }
 
 func (d *driver) catalogue(revision uint64, id, by string, c catalogue.Catalogue) ChangeResult {
-	return d.apply(Command{ApplyCatalogue: &ApplyCatalogue{base(revision, id, by), c}}).(ChangeResult)
+	return d.apply(Command{ApplyCatalogue: &ApplyCatalogue{ChangeBase: base(revision, id, by), Catalogue: c}}).(ChangeResult)
 }
 
 func (d *driver) zone(revision uint64, id, by, zone string, out bool) ChangeResult {
--- a/server/controlsvc/fakes_test.go
+++ b/server/controlsvc/fakes_test.go
@@ -240,6 +240,17 @@
 	t.members = append(t.members, m)
 }
 
+func (t *fakeTable) Leave(_ time.Time, l control.Leave) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if b := t.servers[l.ID]; b != nil {
+		left := *b
+		left.Leaving = true
+		t.version++
+		t.servers[l.ID] = &left
+	}
+}
+
 func (t *fakeTable) SetPhase(time.Time, string, string, control.Phase, int, string) {}
 
 func (t *fakeTable) Delta(_ time.Time, epoch string, version uint64) control.FleetDelta {
--- a/server/entry/place.go
+++ b/server/entry/place.go
@@ -18,6 +18,8 @@
 // placement is the right to send one attempt to a backend server.
 type placement struct {
 	server *control.BackendServer
+	// begun notes that the first byte of the answer came; nil when nobody counts that.
+	begun func()
 	// release gives back slots and the running count. It may be called more than once.
 	release func()
 }
--- a/server/entry/routed_place.go
+++ b/server/entry/routed_place.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
+	"clementinetray/api/catalogue"
 	"clementinetray/api/control"
 	"clementinetray/api/problem"
 	"clementinetray/server/balance"
@@ -31,7 +33,7 @@
 	}
 	pool := snap.View.Catalogue.PoolOf(call.service)
 	rq.chooseModel()
-	size := rq.size()
+	size := rq.size(pool.Engine)
 	rows, servers := routableRows(snap, rq, h.boundVersion(rq, snap.Now))
 	if len(rows) == 0 {
 		return nil, problem.New(problem.NoBackendServer, "no backend server takes work for "+call.service).After(time.Second)
@@ -62,7 +64,7 @@
 
 // holdPlace counts the request at the backend server until the placement is released.
 func (h *Handler) holdPlace(rq *request, server *control.BackendServer, size *balance.Request, cold float64) *placement {
-	done := h.balance.Sent(time.Now(), server.ID, size, cold)
+	begun, done := h.balance.Sent(time.Now(), server.ID, size, cold)
 	pool := rq.pool()
 	var once sync.Once
 	release := func() {
@@ -73,7 +75,7 @@
 	}
 	// A panic before the placement is used gives it back too.
 	rq.releasePlace = release
-	return &placement{server: server, release: release}
+	return &placement{server: server, begun: begun, release: release}
 }
 
 // routableRows returns the backend servers of the request's service that take new work.
@@ -112,17 +114,40 @@
 }
 
 // size returns what the balance of backend servers needs to know of the request.
-func (rq *request) size() *balance.Request {
+func (rq *request) size(engine *catalogue.Engine) *balance.Request {
 	c := rq.routed
+	rank, pace := paceOf(c, engine)
 	output := c.MaxOutputTokens
 	if c.OutputHint > 0 {
 		output = min(c.OutputHint, max(output, c.OutputHint))
 	}
 	return &balance.Request{
 		PromptTokens: c.PromptTokens, OutputTokens: output, Model: c.model, Parts: c.Parts, Zone: rq.zone,
+		ModelRank: rank, Models: len(c.route.Models), Pace: pace,
 	}
 }
 
+// paceOf returns the position of the request's model among those of its route, and the time that the model takes as a share
+// of that of the dearest one. Prices follow the time that models take closely enough.
+func paceOf(c *routedCall, engine *catalogue.Engine) (rank int, pace float64) {
+	if engine == nil {
+		return 0, 1
+	}
+	dearest := 0.0
+	for _, m := range engine.Models {
+		dearest = max(dearest, m.CostPerThousandTokens)
+	}
+	name := c.model
+	if name == "" {
+		name = c.Model
+	}
+	model := engine.FindModel(name)
+	if model == nil || dearest <= 0 {
+		return 0, 1
+	}
+	return max(slices.Index(c.route.Models, name), 0), model.CostPerThousandTokens / dearest
+}
+
 // chooseModel decides for a first model when the route leaves that to the router: the smallest.
 func (rq *request) chooseModel() {
 	if call := rq.routed; len(call.route.Models) > 0 && call.model == "" {
--- a/server/entry/routed_run.go
+++ b/server/entry/routed_run.go
@@ -38,6 +38,7 @@
 	if f != nil {
 		return f
 	}
+	placed.begun()
 	h.balance.Answered(time.Now(), x.server.ID, time.Since(x.began))
 	said := h.cfg.Dialect.ReadAnswer(x.response)
 	if said.LoadKnown {
