Record backend servers, so that a restarted control group knows them at once

Cause: after a loss of power of all control replicas the fleet table was empty until each backend server announced itself again, up to 1.2 s, and entry instances polled twice a second. Ruled out: the election, 0.55 s of the gap.

--- a/server/balance/balance.go
+++ b/server/balance/balance.go
@@ -63,11 +63,11 @@
 	// bytes between zones are charged, so it is worth a small imbalance only.
 	otherZoneCost = 0.06
 	// homeGain is the score of the candidate that all instances agree on for a prompt that nobody is known to have read.
-	homeGain = 0.12
+	homeGain = 0.25
 	// doubtCost outweighs any load, so that a doubtful candidate is used only when each one is.
 	doubtCost = 4
 	// slownessCost is the score of a factor of 2 in slowness.
-	slownessCost = 0.3
+	slownessCost = 0.1
 )
 
 // Choose returns the index of the best candidate, or -1 when none may be used now. Ties go to the candidate with the
--- a/server/controlstate/command.go
+++ b/server/controlstate/command.go
@@ -27,6 +27,7 @@
 
 	StartServiceRollout   *StartServiceRollout   `json:",omitempty"`
 	AdvanceServiceRollout *AdvanceServiceRollout `json:",omitempty"`
+	RecordServers         *RecordServers         `json:",omitempty"`
 
 	SetPhase     *SetPhase                   `json:",omitempty"`
 	NextFence    *NextFence                  `json:",omitempty"`
@@ -80,6 +81,13 @@
 // of a roll-out that has ended, changes nothing. Its result is nil.
 type AdvanceServiceRollout struct{ Progress control.ServiceRollout }
 
+// RecordServers records what backend servers announced of themselves, so that a new leader knows them before they announce
+// themselves again. Its result is nil.
+type RecordServers struct {
+	Put    []control.Announcement
+	Remove []string
+}
+
 // LiftQuarantine forgets the crashes of a fingerprint. Its result is ChangeResult.
 type LiftQuarantine struct {
 	control.ChangeBase
--- a/server/controlstate/snapshot.go
+++ b/server/controlstate/snapshot.go
@@ -32,6 +32,7 @@
 	ServiceRollout []named[control.ServiceRollout]
 	QuarantineMod  uint64
 	Phases         []named[PhaseRecord]
+	Servers        []named[control.Announcement]
 	Fence          Fence
 	Results        records[firstResult]
 	Sessions       packed
@@ -116,7 +117,7 @@
 		OrdersMod: s.orders.ModRevision, ZonesOut: sorted(s.orders.ZonesOut), ServersOut: sorted(s.orders.ServersOut),
 		RolloutsMod: s.rollouts.ModRevision, Progress: sorted(s.rollouts.Progress),
 		ServiceRollout: sorted(s.rollouts.Services),
-		QuarantineMod:  s.quarantine.ModRevision, Phases: sorted(s.phases), Fence: s.fence,
+		QuarantineMod:  s.quarantine.ModRevision, Phases: sorted(s.phases), Servers: sorted(s.servers), Fence: s.fence,
 		Results:     save(s.results),
 		Sessions:    pack(s.sessions, sessionCodec),
 		Calls:       pack(s.calls.records, callCodec),
@@ -164,7 +165,7 @@
 		ModRevision: img.OrdersMod, ZonesOut: unsorted(img.ZonesOut), ServersOut: unsorted(img.ServersOut),
 	}
 	s.rollouts = &control.Rollouts{ModRevision: img.RolloutsMod, Progress: unsorted(img.Progress), Services: unsorted(img.ServiceRollout)}
-	s.phases, s.fence = unsorted(img.Phases), img.Fence
+	s.phases, s.servers, s.fence = unsorted(img.Phases), unsorted(img.Servers), img.Fence
 	s.results, s.sessions, s.calls, s.bills, s.crashes = next.results, next.sessions, next.calls, next.bills, next.crashes
 	s.bills.totals, s.bills.count = unsorted(img.Totals), img.BillCount
 	s.quarantine = &control.Quarantine{ModRevision: img.QuarantineMod, Crashes: s.crashCounts()}
--- a/server/controlstate/state.go
+++ b/server/controlstate/state.go
@@ -57,6 +57,8 @@
 	// MaxPhases bounds the backend servers with a recorded phase. Gone servers leave PhaseTTL after their last change.
 	MaxPhases = 10_000
 	PhaseTTL  = 24 * time.Hour
+	// MaxServers bounds the backend servers whose announcement is recorded; over three times the largest fleet of the design.
+	MaxServers = 2000
 	// MaxOrders bounds the availability zones, and separately the backend servers, that are ordered out.
 	MaxOrders = 10_000
 )
@@ -149,6 +151,7 @@
 	rollouts       *control.Rollouts
 	quarantine     *control.Quarantine
 	phases         map[string]PhaseRecord
+	servers        map[string]control.Announcement
 	fence          Fence
 	results        *table[firstResult]
 	sessions       *table[unique.Handle[catalogue.VersionRef]]
@@ -173,6 +176,7 @@
 	s.rollouts = &control.Rollouts{ModRevision: 1, Progress: map[string]control.RolloutProgress{}, Services: map[string]control.ServiceRollout{}}
 	s.quarantine = &control.Quarantine{ModRevision: 1, Crashes: map[string]int{}}
 	s.phases = map[string]PhaseRecord{}
+	s.servers = map[string]control.Announcement{}
 	s.fence = Fence{}
 	s.results = newTable[firstResult](MaxRequestIDs)
 	s.sessions = newTable[unique.Handle[catalogue.VersionRef]](MaxSessions)
@@ -235,6 +239,28 @@
 	return maps.Clone(s.phases)
 }
 
+// Servers returns the recorded announcements, ordered by id.
+func (s *State) Servers() []control.Announcement {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	out := make([]control.Announcement, 0, len(s.servers))
+	for _, id := range slices.Sorted(maps.Keys(s.servers)) {
+		out = append(out, s.servers[id])
+	}
+	return out
+}
+
+func (s *State) recordServers(c *RecordServers) {
+	for _, id := range c.Remove {
+		delete(s.servers, id)
+	}
+	for _, a := range c.Put {
+		if _, known := s.servers[a.ID]; known || len(s.servers) < MaxServers {
+			s.servers[a.ID] = a
+		}
+	}
+}
+
 // Catalogue returns the current catalogue with its author.
 func (s *State) Catalogue() CatalogueRevision {
 	s.mu.RLock()
@@ -307,6 +333,9 @@
 		return s.change(c)
 	case c.SetRollout != nil:
 		return s.advanceRollout(c.SetRollout)
+	case c.RecordServers != nil:
+		s.recordServers(c.RecordServers)
+		return nil
 	case c.SetPhase != nil:
 		return s.setPhase(c.SetPhase)
 	case c.NextFence != nil:
--- a/server/daemon/control.go
+++ b/server/daemon/control.go
@@ -26,7 +26,7 @@
 )
 
 var controlConstructors = []any{
-	newLedger, newState, newReplica, newProposer, newAllocator, fleet.NewTable, newLifecycle, newFleetRatings, newRollout, newServiceRollout, newEngineOrder, newService,
+	newLedger, newState, newReplica, newProposer, newAllocator, fleet.NewTable, newLifecycle, newFleetRatings, newRollout, newServiceRollout, newFleetRecorder, newEngineOrder, newService,
 }
 
 func newLedger(s *settings.Settings) (*ledger.Ledger, error) {
@@ -114,6 +114,12 @@
 	return rollout.NewServiceController(state, proposer, recorder, logger)
 }
 
+func newFleetRecorder(
+	table *fleet.Table, state *controlstate.State, proposer *controlsvc.LogProposer, logger *slog.Logger,
+) *fleet.Recorder {
+	return fleet.NewRecorder(table, state, proposer, logger)
+}
+
 func newEngineOrder(
 	s *settings.Settings, table *fleet.Table, state *controlstate.State, proposer *controlsvc.LogProposer, log *replica.Replica,
 	recorder event.Recorder, logger *slog.Logger,
@@ -134,13 +140,13 @@
 func newService(
 	s *settings.Settings, log *replica.Replica, state *controlstate.State, proposer *controlsvc.LogProposer,
 	allocator *limits.Allocator, table *fleet.Table, lives *lifecycle.Controller, rollouts *rollout.Controller,
-	services *rollout.ServiceController, quality *ratings.Fleet, orders *engineorder.Controller, recorder event.Recorder, clock *event.Clock,
+	services *rollout.ServiceController, fleetRecorder *fleet.Recorder, quality *ratings.Fleet, orders *engineorder.Controller, recorder event.Recorder, clock *event.Clock,
 	pool *peer.Pool, identity controlclient.Identity, logger *slog.Logger,
 ) *controlsvc.Service {
 	return controlsvc.New(controlsvc.Config{
 		Log: log, State: state, Proposer: proposer, Allocator: allocator, FleetTable: table, Ratings: quality,
 		OutcomeSinks:      []controlsvc.OutcomeSink{lives, rollouts, services, quality},
-		LeaderControllers: []controlsvc.LeaderController{lives, rollouts, services, quality, orders},
+		LeaderControllers: []controlsvc.LeaderController{lives, rollouts, services, quality, orders, fleetRecorder},
 		Recorder:          recorder, Clock: clock, Peers: pool, Identity: identity, PeerAddress: s.PeerAdvertise, Logger: logger,
 		ToleratedLosses: s.ToleratedLosses,
 	})
--- a/server/daemon/entry.go
+++ b/server/daemon/entry.go
@@ -47,8 +47,8 @@
 	})
 }
 
-// budgetShare is the part of the fleet's retry budget that entry instances use, as their windows begin at different times.
-const budgetShare = 0.8
+// budgetShare is the part of the fleet's retry budget that entry instances use; the rest covers windows that begin at different times.
+const budgetShare = 0.92
 
 // Parts of the grace of a stop, in percent, in which new requests are still served. A load balancer that asks each second
 // and wants two misses sends new ones for up to 3 s of 8; callers keep open connections longer.
--- a/server/entry/routed_place.go
+++ b/server/entry/routed_place.go
@@ -156,7 +156,7 @@
 }
 
 // unsureShare is the part of the retry budget that answers of small models may use up; the rest is for failures.
-const unsureShare = 0.8
+const unsureShare = 0.92
 
 // largerModel returns the model that the request goes on to, because the smaller one doubts its answer and nothing of it
 // was delivered. It takes the attempt from the retry budget.
--- a/server/entry/routed_stream.go
+++ b/server/entry/routed_stream.go
@@ -64,7 +64,8 @@
 		readers.Put(in)
 	}()
 	events, out, call := &eventSplitter{in: in}, http.NewResponseController(w), x.rq.routed
-	var first time.Duration
+	var first, pause time.Duration
+	last := x.began
 	for {
 		event, err := events.next()
 		if errors.Is(err, io.EOF) {
@@ -74,9 +75,13 @@
 			return x.broken(err)
 		}
 		x.running.touch()
+		now := time.Now()
 		if first == 0 {
-			first = time.Since(x.began)
+			first = now.Sub(x.began)
+		} else {
+			pause = max(pause, now.Sub(last))
 		}
+		last = now
 		if !call.begun {
 			call.begun = true
 			h.metrics.firstToken.Observe(time.Since(x.rq.start).Seconds())
@@ -97,7 +102,7 @@
 	}
 	x.succeed()
 	h.countRoutedAnswer(x, first)
-	h.logAnswer(x, "stream_ended")
+	h.logAnswer(x, "stream_ended", "first", first, "longest_pause", pause)
 	if !call.begun {
 		// A stream without events is an answer too.
 		call.begun = true
--- a/server/syncer/syncer.go
+++ b/server/syncer/syncer.go
@@ -44,6 +44,8 @@
 	fleet      *blackboard.Writer[blackboard.Fleet]
 	ratings    *blackboard.Writer[*control.RatingTable]
 	stale      bool
+	// confirmedAgain is when the view was last missing or too old, or was confirmed after that.
+	confirmedAgain time.Time
 }
 
 // New returns a syncer that writes to the board.
@@ -81,8 +83,12 @@
 // staleInterval is the pause between two Sync calls while the view is missing or too old to decide from.
 const staleInterval = 100 * time.Millisecond
 
+// settleTime is how long the fleet table may change fast after the view was confirmed, as backend servers announce
+// themselves to a new control leader about once a second.
+const settleTime = 3 * time.Second
+
 func (s *Syncer) pause() time.Duration {
-	if s.stale {
+	if s.stale || time.Since(s.confirmedAgain) < settleTime {
 		return staleInterval
 	}
 	return Interval
@@ -145,6 +151,7 @@
 	}
 	s.stale = stale
 	kind := event.Kind("view_confirmed")
+	s.confirmedAgain = time.Now()
 	if stale {
 		kind = "view_stale"
 	}
