--- a/server/daemon/control.go
+++ b/server/daemon/control.go
@@ -49,7 +49,7 @@
 	}
 	return startReplica(replica.Config{
 		ID: s.ReplicaID(), Address: s.PeerAdvertise, Members: members, Bootstrap: s.Bootstrap, DataDir: s.DataDir,
-		GroupSize: s.GroupSize(), Peers: client.Replicas,
+		ElectionTimeout: s.ElectionTimeout, GroupSize: s.GroupSize(), Peers: client.Replicas,
 		Pool: pool, Server: server, StateMachine: state, Logger: logger, Recorder: recorder, Clock: clock,
 	})
 }
--- a/server/settings/settings.go
+++ b/server/settings/settings.go
@@ -50,6 +50,8 @@
 	Replicas []Replica
 	// SeedHosts are the hosts of some control replicas; empty when control.replicas lists all of them.
 	SeedHosts []netip.Addr
+	// ElectionTimeout is the least time without a leader after which a replica starts an election. Default 500 ms.
+	ElectionTimeout time.Duration
 	// ToleratedLosses is the number of data folders that may be lost at once. Default 0.
 	ToleratedLosses int
 	// Bootstrap starts a new group on empty data folders. Default false: an empty folder rejoins as a learner.
