--- a/server/balance/balance.go
+++ b/server/balance/balance.go
@@ -40,6 +40,8 @@
 	Load float64
 	// Queue is the estimated number of prompt tokens that wait to be read, in tokens of the slowest model.
 	Queue float64
+	// Gap is the typical time between two events of its streams lately, 0 when none is known.
+	Gap time.Duration
 	// Cold is true while it bears only a low rate; ColdReady says that this instance may send it one request now.
 	Cold, ColdReady bool
 	// Doubt lowers a candidate after failures or silence: 0 none, 1 avoided while there is another.
@@ -54,6 +56,9 @@
 	// queueScale is the number of prompt tokens of the slowest model that weigh as much as all slots: an engine reads them in
 	// about 2 s, which is the time to the first event that callers want.
 	queueScale = 40_000
+	// gapScale is the time between two events that weighs as much as all slots: an engine that reads long prompts without a
+	// pause sends an event about once a second.
+	gapScale = time.Second
 	// groupCost keeps requests on the backend servers of their model's group until those have this much more load.
 	groupCost = 0.5
 	// smallGroupShare is the part of a pool that runs the smallest model. Every request runs there first, at a tenth of the
@@ -94,7 +99,7 @@
 
 func score(c *Candidate, r *Request, home bool) float64 {
 	work := float64(r.PromptTokens-c.CachedTokens) * r.Pace
-	s := c.Load + (c.Queue+work)/queueScale + c.Doubt*doubtCost + slownessCost*math.Log2(max(c.Slowness, 1))
+	s := c.Pressure() + work/queueScale + c.Doubt*doubtCost + slownessCost*math.Log2(max(c.Slowness, 1))
 	if c.Zone != r.Zone {
 		s += otherZoneCost
 	}
@@ -104,6 +109,43 @@
 	return s
 }
 
+// Pressure is how busy the backend server is, in units of load: 1 is as much as it can do in the time that callers want.
+func (c *Candidate) Pressure() float64 {
+	return c.Load + c.Queue/queueScale + float64(c.Gap)/float64(gapScale)
+}
+
+// Pressure returns the least pressure of the backend servers that run the request's model, 0 without any.
+func Pressure(candidates []Candidate, r *Request) float64 {
+	group := groupOf(candidates, r)
+	least, found := 0.0, false
+	for i := range candidates {
+		c := &candidates[i]
+		if group != nil && !group[i] || c.Cold && !c.ColdReady || c.Doubt > 0 {
+			continue
+		}
+		if p := c.Pressure(); !found || p < least {
+			least, found = p, true
+		}
+	}
+	return least
+}
+
+// Sureness returns the confidence from which on the answer of a smaller model is delivered. It falls as the larger models
+// get busy: a better answer that comes too late, and holds up others, is worth less than one that may do.
+func Sureness(sure int, pressure float64) int {
+	relaxed := min(max((pressure-easyPressure)/(fullPressure-easyPressure), 0), 1)
+	return int(float64(sure) * (1 - relaxed*mostRelaxed))
+}
+
+const (
+	// easyPressure is the pressure up to which the larger model is asked as often as callers would like, and fullPressure
+	// that from which on it is asked for the most doubtful answers only.
+	easyPressure = 0.6
+	fullPressure = 1.6
+	// mostRelaxed is the share of the confidence that is waived at fullPressure.
+	mostRelaxed = 0.8
+)
+
 // tieShare is the largest score that the salt decides over.
 const tieShare = 0.02
 
--- a/server/balance/tracker.go
+++ b/server/balance/tracker.go
@@ -58,10 +58,13 @@
 	failures int
 	doubted  time.Time
 	latency  float64 // milliseconds, running mean
-	answers  int
-	parts    map[string]time.Time
-	cold     bucket
-	used     time.Time
+	// gap is the running mean of the time between two events, and paced when it was last updated.
+	gap     time.Duration
+	paced   time.Time
+	answers int
+	parts   map[string]time.Time
+	cold    bucket
+	used    time.Time
 }
 
 // NewTracker returns an empty tracker.
@@ -101,7 +104,7 @@
 		s := t.get(row.ID, now)
 		c := Candidate{
 			ID: row.ID, Zone: row.Zone, Load: s.load(now, row.Slots), Queue: s.queue(now, t.meanWork), Slowness: 1,
-			CachedTokens: s.cached(now, r),
+			CachedTokens: s.cached(now, r), Gap: s.recentGap(now),
 		}
 		if row.ColdFor > 0 && cold > 0 {
 			c.Cold, c.ColdReady = true, s.cold.ready(now, cold)
@@ -245,6 +248,26 @@
 	s.latency += latencyWeight * (ms - s.latency)
 }
 
+// Paced notes the time between two events of a stream.
+func (t *Tracker) Paced(now time.Time, id string, gap time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.get(id, now)
+	s.gap += time.Duration(gapWeight * float64(gap-s.gap))
+	s.paced = now
+}
+
+// gapWeight is the share of one event in the running mean of the time between events.
+const gapWeight = 0.15
+
+// recentGap fades out, as a server without streams gets faster unseen.
+func (s *server) recentGap(now time.Time) time.Duration {
+	if s.paced.IsZero() {
+		return 0
+	}
+	return time.Duration(float64(s.gap) * float64(observationLife) / float64(observationLife+now.Sub(s.paced)))
+}
+
 // Failed notes an attempt that the backend server failed. It is avoided for a while.
 func (t *Tracker) Failed(now time.Time, id string) {
 	t.mu.Lock()
--- a/server/entry/routed_place.go
+++ b/server/entry/routed_place.go
@@ -164,10 +164,35 @@
 	call := rq.routed
 	models := call.route.Models
 	if confidence < 0 || confidence >= h.cfg.SureConfidence || call.begun || len(models) == 0 || call.model == models[len(models)-1] ||
-		rq.tries >= rq.maxTries() || !h.routedBudget(call.service).TryShare(time.Now(), unsureShare) {
+		rq.tries >= rq.maxTries() {
 		return ""
 	}
-	return models[len(models)-1]
+	larger := models[len(models)-1]
+	pressure := h.pressureOf(rq, larger)
+	if sure := balance.Sureness(h.cfg.SureConfidence, pressure); confidence >= sure {
+		h.cfg.Log.Info("larger_model_busy", "request", rq.id, "confidence", confidence, "sure", sure, "pressure", pressure)
+		return ""
+	}
+	if !h.routedBudget(call.service).TryShare(time.Now(), unsureShare) {
+		h.cfg.Log.Info("larger_model_over_budget", "request", rq.id, "confidence", confidence)
+		return ""
+	}
+	return larger
+}
+
+// pressureOf returns how busy the backend servers are that would run the request with the model.
+func (h *Handler) pressureOf(rq *request, model string) float64 {
+	snap, p := h.snapshot()
+	if p != nil {
+		return 0
+	}
+	call := *rq.routed
+	call.model = model
+	larger := *rq
+	larger.routed = &call
+	size := larger.size(snap.View.Catalogue.PoolOf(call.service).Engine)
+	rows, _ := routableRows(snap, &larger, h.boundVersion(rq, snap.Now))
+	return balance.Pressure(h.balance.Candidates(snap.Now, rows, size, 0), size)
 }
 
 // routedBudget returns the retry budget of a service.
--- a/server/entry/routed_stream.go
+++ b/server/entry/routed_stream.go
@@ -80,6 +80,7 @@
 			first = now.Sub(x.began)
 		} else {
 			pause = max(pause, now.Sub(last))
+			h.balance.Paced(now, x.server.ID, now.Sub(last))
 		}
 		last = now
 		if !call.begun {
