--- a/server/balance/balance.go
+++ b/server/balance/balance.go
@@ -140,8 +140,8 @@
 const (
 	// easyPressure is the pressure up to which the larger model is asked as often as callers would like, and fullPressure
 	// that from which on it is asked for the most doubtful answers only.
-	easyPressure = 0.6
-	fullPressure = 1.6
+	easyPressure = 0.1
+	fullPressure = 0.5
 	// mostRelaxed is the share of the confidence that is waived at fullPressure.
 	mostRelaxed = 0.8
 )
