Bound the log, and notice that the machine was suspended

A suspended machine's monotonic clock stands still, so a leader that wakes took its last confirmed round for current and an entry instance its view. Both now count the time between boot time and monotonic time. The log never blocks: a standard output that nobody reads drops lines, which are counted.

--- a/server/balance/balance.go
+++ b/server/balance/balance.go
@@ -140,10 +140,10 @@
 const (
 	// easyPressure is the pressure up to which the larger model is asked as often as callers would like, and fullPressure
 	// that from which on it is asked for the most doubtful answers only.
-	easyPressure = 0.1
-	fullPressure = 0.5
+	easyPressure = 0.05
+	fullPressure = 0.35
 	// mostRelaxed is the share of the confidence that is waived at fullPressure.
-	mostRelaxed = 0.8
+	mostRelaxed = 0.9
 )
 
 // tieShare is the largest score that the salt decides over.
--- a/server/blackboard/sections.go
+++ b/server/blackboard/sections.go
@@ -5,6 +5,7 @@
 
 	"clementinetray/api/catalogue"
 	"clementinetray/api/control"
+	"clementinetray/server/clock"
 )
 
 // Fleet is the table of backend servers as this process knows it.
@@ -26,12 +27,17 @@
 	*control.View
 	// ConfirmedAt is the latest time, on this process's monotonic clock, at which the view is known to have been current.
 	ConfirmedAt time.Time
+	// Asleep is clock.Asleep at that time.
+	Asleep time.Duration
 	// Leader is the peer address of the control leader, empty when unknown.
 	Leader string
 }
 
-// Age returns how old the view may be at now.
-func (v View) Age(now time.Time) time.Duration { return now.Sub(v.ConfirmedAt) }
+// Age returns how old the view may be at now, which is the present on the monotonic clock. Time in which the machine was
+// suspended counts.
+func (v View) Age(now time.Time) time.Duration {
+	return now.Sub(v.ConfirmedAt) + max(clock.Asleep()-v.Asleep, 0)
+}
 
 // Board is the blackboard of one process.
 type Board struct {
--- a/server/daemon/container.go
+++ b/server/daemon/container.go
@@ -16,6 +16,7 @@
 	"clementinetray/api/event"
 	"clementinetray/server/blackboard"
 	"clementinetray/server/controlclient"
+	"clementinetray/server/logging"
 	"clementinetray/server/peer"
 	"clementinetray/server/settings"
 	"clementinetray/server/timeline"
@@ -33,7 +34,7 @@
 	constructors := []any{
 		func() *settings.Settings { return s },
 		func() Adapter { return adapter },
-		newLogger, newIdentity, newSecret, newPool, newPeerServer, newRing, newRegistry, newClient, newMember,
+		newLogWriter, newLogger, newIdentity, newSecret, newPool, newPeerServer, newRing, newRegistry, newClient, newMember,
 		blackboard.New,
 		func() *event.Clock { return &event.Clock{} },
 		func(ring *timeline.Ring) event.Recorder { return ring },
@@ -49,8 +50,17 @@
 	return c, nil
 }
 
-func newLogger(s *settings.Settings) *slog.Logger {
-	handler := slog.NewTextHandler(os.Stdout, &slog.HandlerOptions{Level: s.LogLevel, ReplaceAttr: shortError})
+func newLogWriter(s *settings.Settings, registerer prometheus.Registerer) *logging.Writer {
+	w := logging.NewWriter(os.Stdout, s.LogLinesPerSecond)
+	registerer.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "clementinetray_log_lines_dropped_total",
+		Help: "Log lines that were over the limit of the settings or that nobody read in time.",
+	}, func() float64 { return float64(w.Dropped()) }))
+	return w
+}
+
+func newLogger(s *settings.Settings, out *logging.Writer) *slog.Logger {
+	handler := slog.NewTextHandler(out, &slog.HandlerOptions{Level: s.LogLevel, ReplaceAttr: shortError})
 	return slog.New(handler).With("instance", s.InstanceID)
 }
 
--- a/server/daemon/daemon.go
+++ b/server/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"clementinetray/server/controlsvc"
 	"clementinetray/server/entry"
 	"clementinetray/server/ledger"
+	"clementinetray/server/logging"
 	"clementinetray/server/peer"
 	"clementinetray/server/replica"
 	"clementinetray/server/settings"
@@ -65,6 +66,7 @@
 	Settings *settings.Settings
 	Adapter  Adapter
 	Logger   *slog.Logger
+	LogLines *logging.Writer
 	Recorder event.Recorder
 	Peers    *peer.Server
 	Pool     *peer.Pool
@@ -195,6 +197,7 @@
 	_ = d.Peers.Close()
 	d.tasks.Wait()
 	d.Logger.Info("stopped")
+	d.LogLines.Close()
 }
 
 // drainLimit ends the wait for open requests early enough for the rest of the stop.
--- a/server/replica/freshness.go
+++ b/server/replica/freshness.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"clementinetray/server/clock"
 	"clementinetray/server/raft"
 )
 
@@ -26,17 +27,21 @@
 type freshness struct {
 	start time.Time
 	boot  uint64
+	// era names an unbroken run of the monotonic clock; it is new after a suspension. It is used by the raft loop only.
+	era uint64
 
 	// rounds and echoes are used by the raft loop only.
 	rounds []roundStart
 	echoes map[raft.NodeID]raft.Clock
 
-	mu     sync.Mutex   // guards points
+	mu     sync.Mutex   // guards the fields below
 	points []freshPoint // in order of time
+	// asleep is clock.Asleep at the last look.
+	asleep time.Duration
 }
 
 func newFreshness() *freshness {
-	return &freshness{start: time.Now(), boot: rand.Uint64() | 1, echoes: map[raft.NodeID]raft.Clock{}}
+	return &freshness{start: time.Now(), boot: rand.Uint64() | 1, era: rand.Uint64() | 1, echoes: map[raft.NodeID]raft.Clock{}, asleep: clock.Asleep()}
 }
 
 // startRound notes the heartbeat round that a leader started at the given time with the given commit index.
@@ -58,6 +63,25 @@
 	}
 }
 
+// suspended is the difference of two clocks from which on the machine counts as suspended between two readings.
+const suspended = 20 * time.Millisecond
+
+// wake forgets all points when the machine was suspended since the last look: the monotonic clock stood still, so that they
+// look newer than they are. Rounds and echoes that are under way end with the old boot. It runs in the raft loop.
+func (f *freshness) wake() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.sleptLocked() {
+		f.asleep = clock.Asleep()
+		f.points = f.points[:0]
+		f.rounds = f.rounds[:0]
+		f.era = rand.Uint64() | 1
+	}
+}
+
+// sleptLocked reports whether the machine was suspended since the last look. f.mu is held.
+func (f *freshness) sleptLocked() bool { return clock.Asleep()-f.asleep >= suspended }
+
 // leadershipLost forgets unconfirmed rounds.
 func (f *freshness) leadershipLost() { f.rounds = f.rounds[:0] }
 
@@ -88,6 +112,9 @@
 func (f *freshness) at(applied uint64) (time.Time, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.sleptLocked() {
+		return time.Time{}, false
+	}
 	found := -1
 	for i, p := range f.points {
 		if p.index <= applied {
@@ -105,7 +132,7 @@
 func (f *freshness) stamp(m *raft.Message, now time.Time) {
 	switch m.Kind {
 	case raft.AppendReply:
-		m.SentAt = raft.Clock{Boot: f.boot, At: now.Sub(f.start)}
+		m.SentAt = raft.Clock{Boot: f.era, At: now.Sub(f.start)}
 	case raft.Append:
 		m.EchoAt = f.echoes[m.To]
 		if p, ok := f.newest(); ok {
@@ -124,7 +151,7 @@
 // appendReceived derives a point from an Append of the current leader. The message was sent after the leader had seen
 // this replica's clock at EchoAt, so the delay of the message does not count, however long it is.
 func (f *freshness) appendReceived(m raft.Message) {
-	if m.LeaderAgeKnown && m.EchoAt.Boot == f.boot {
+	if m.LeaderAgeKnown && m.EchoAt.Boot == f.era {
 		f.add(freshPoint{at: f.start.Add(m.EchoAt.At - m.LeaderAge), index: m.Commit})
 	}
 }
--- a/server/replica/loop.go
+++ b/server/replica/loop.go
@@ -22,10 +22,13 @@
 		case <-r.stopping:
 			return
 		case task := <-r.tasks:
+			r.fresh.wake()
 			task()
 		case <-ticker.C:
+			r.fresh.wake()
 			r.tick()
 		case <-r.applied:
+			r.fresh.wake()
 		}
 		r.drain()
 		if !r.process() {
--- a/server/syncer/syncer.go
+++ b/server/syncer/syncer.go
@@ -11,6 +11,7 @@
 	"clementinetray/api/control"
 	"clementinetray/api/event"
 	"clementinetray/server/blackboard"
+	"clementinetray/server/clock"
 )
 
 // Error is the class of all errors of this package.
@@ -103,19 +104,19 @@
 	if table := s.board.FleetRatings.Load(); table != nil {
 		request.RatingsVersion = table.Version
 	}
-	sent := time.Now()
+	sent, asleep := time.Now(), clock.Asleep()
 	reply, err := s.replicas.Sync(ctx, request)
 	if err != nil {
 		s.logger.Warn("sync failed", "error", err, "view_age", held.Age(time.Now()))
 		s.noteAge()
 		return
 	}
-	s.accept(sent, held, reply)
+	s.accept(sent, asleep, held, reply)
 	s.noteAge()
 }
 
 // accept publishes the reply unless it is older than what is held.
-func (s *Syncer) accept(sent time.Time, held blackboard.View, reply *control.SyncReply) {
+func (s *Syncer) accept(sent time.Time, asleep time.Duration, held blackboard.View, reply *control.SyncReply) {
 	if reply.Revision < revisionOf(held) {
 		s.logger.Warn("sync reply is older than the held view", "replica", reply.Instance, "revision", reply.Revision, "held", revisionOf(held))
 		s.replicas.SkipReplica()
@@ -126,14 +127,14 @@
 		s.replicas.SkipReplica()
 	}
 	// A view that was confirmed at a later time stays confirmed: its successor was current then or became so after.
-	if confirmed.Before(held.ConfirmedAt) {
+	if confirmed.Before(held.ConfirmedAt) && asleep-held.Asleep < suspended {
 		confirmed = held.ConfirmedAt
 	}
 	next := merge(held.View, reply.View)
 	if next != nil && next.Revision != revisionOf(held) {
 		s.recorder.Record(event.Event{Kind: "view_in_force", Revision: next.Revision})
 	}
-	s.view.Publish(blackboard.View{View: next, ConfirmedAt: confirmed, Leader: reply.Leader})
+	s.view.Publish(blackboard.View{View: next, ConfirmedAt: confirmed, Asleep: asleep, Leader: reply.Leader})
 	fleet := s.board.Fleet.Load()
 	s.fleet.Publish(*s.applyFleet(&fleet, reply.Fleet, time.Now()))
 	if held := s.board.FleetRatings.Load(); reply.Ratings != nil && (held == nil || reply.Ratings.Version > held.Version) {
@@ -141,6 +142,9 @@
 	}
 }
 
+// suspended is the difference of two clocks from which on the machine counts as suspended between two readings.
+const suspended = 20 * time.Millisecond
+
 // noteAge records when the view passes its age limit and when it is confirmed again.
 func (s *Syncer) noteAge() {
 	view := s.board.View.Load()
