--- a/server/entry/routed_log.go
+++ b/server/entry/routed_log.go
@@ -17,6 +17,7 @@
 		slog.String("session", rq.route.Session), slog.String("software", server.SoftwareVersion),
 		slog.String("backend_server", server.ID), slog.String("model", rq.routed.model), slog.Int("attempt", rq.attempts+1),
 		slog.Float64("load", c.Load), slog.Float64("queue", c.Queue), slog.Bool("cold", c.Cold), slog.Float64("doubt", c.Doubt), slog.Float64("slowness", c.Slowness),
+		slog.Int("prompt_tokens", rq.routed.PromptTokens), slog.Int("output_hint", rq.routed.OutputHint),
 		slog.Int("cached_tokens", c.CachedTokens), slog.Int("candidates", candidates), slog.Uint64("revision", snap.View.Revision),
 		slog.Duration("view_age", h.cfg.Board.View.Load().Age(snap.Now)), slog.Duration("fleet_age", snap.Now.Sub(snap.Fleet.ReceivedAt)),
 		slog.Duration("waited", snap.Now.Sub(rq.start)))
--- a/server/entry/routed_stream.go
+++ b/server/entry/routed_stream.go
@@ -65,6 +65,7 @@
 	}()
 	events, out, call := &eventSplitter{in: in}, http.NewResponseController(w), x.rq.routed
 	var first, pause time.Duration
+	count := 0
 	last := x.began
 	for {
 		event, err := events.next()
@@ -75,6 +76,7 @@
 			return x.broken(err)
 		}
 		x.running.touch()
+		count++
 		now := time.Now()
 		if first == 0 {
 			first = now.Sub(x.began)
@@ -103,7 +105,7 @@
 	}
 	x.succeed()
 	h.countRoutedAnswer(x, first)
-	h.logAnswer(x, "stream_ended", "first", first, "longest_pause", pause)
+	h.logAnswer(x, "stream_ended", "first", first, "longest_pause", pause, "events", count)
 	if !call.begun {
 		// A stream without events is an answer too.
 		call.begun = true
