--- a/server/daemon/control.go
+++ b/server/daemon/control.go
@@ -49,11 +49,20 @@
 	}
 	return startReplica(replica.Config{
 		ID: s.ReplicaID(), Address: s.PeerAdvertise, Members: members, Bootstrap: s.Bootstrap, DataDir: s.DataDir,
-		ElectionTimeout: s.ElectionTimeout, GroupSize: s.GroupSize(), Peers: client.Replicas,
+		ElectionTimeout: s.ElectionTimeout, Tick: s.ElectionTimeout / ticksPerElection,
+		HeartbeatInterval: s.ElectionTimeout / heartbeatsPerElection, GroupSize: s.GroupSize(), Peers: client.Replicas,
 		Pool: pool, Server: server, StateMachine: state, Logger: logger, Recorder: recorder, Clock: clock,
 	})
 }
 
+const (
+	// ticksPerElection is the resolution of election timeouts. They are drawn from one to two times the setting: with few
+	// ticks, replicas that start together often draw the same one and split their votes.
+	ticksPerElection = 20
+	// heartbeatsPerElection lets some heartbeats be lost before an election.
+	heartbeatsPerElection = 5
+)
+
 // diskPause is the pause before a data folder that refused a write is tried again.
 const diskPause = 500 * time.Millisecond
 
--- a/server/entry/routed.go
+++ b/server/entry/routed.go
@@ -135,7 +135,7 @@
 }
 
 // noViewRetry is the time within which an instance that has just started gets its first view.
-const noViewRetry = time.Second
+const noViewRetry = 600 * time.Millisecond
 
 // authenticateRouted finds the workspace of the caller's key.
 func (h *Handler) authenticateRouted(c *catalogue.Catalogue, rq *request) *problem.Problem {
