--- /dev/null
+++ b/server/balance/balance_test.go
@@ -0,0 +1,207 @@
+package balance_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"clementinetray/server/balance"
+)
+
+var start = time.Date(2026, 3, 2, 9, 0, 0, 0, time.UTC)
+
+func named(id string, change func(*balance.Candidate)) balance.Candidate {
+	c := balance.Candidate{ID: id, Zone: "a", Slowness: 1}
+	if change != nil {
+		change(&c)
+	}
+	return c
+}
+
+// Each case guards against a request that goes where it waits longer, or where it may not go.
+func TestChoose(t *testing.T) {
+	prompt := &balance.Request{PromptTokens: 10_000, Pace: 1, Zone: "a"}
+	cases := []struct {
+		desc       string
+		request    *balance.Request
+		candidates []balance.Candidate
+		want       string
+	}{
+		{"no candidate", prompt, nil, ""},
+		{"the lower load", prompt, []balance.Candidate{named("x", func(c *balance.Candidate) { c.Load = 0.9 }), named("y", nil)}, "y"},
+		{"the shorter queue of prompts at equal load", prompt, []balance.Candidate{
+			named("x", func(c *balance.Candidate) { c.Queue = 30_000 }), named("y", nil)}, "y"},
+		{"the engine whose streams go on faster", prompt, []balance.Candidate{
+			named("x", func(c *balance.Candidate) { c.Gap = 800 * time.Millisecond }), named("y", func(c *balance.Candidate) { c.Gap = 100 * time.Millisecond })}, "y"},
+		{"another zone when the own one is loaded", prompt, []balance.Candidate{
+			named("x", func(c *balance.Candidate) { c.Load = 0.5 }), named("y", func(c *balance.Candidate) { c.Zone = "b" })}, "y"},
+		{"the own zone at equal load", prompt, []balance.Candidate{named("x", func(c *balance.Candidate) { c.Zone = "b" }), named("y", nil)}, "y"},
+		{"where the prompt is cached", prompt, []balance.Candidate{named("x", nil), named("y", func(c *balance.Candidate) { c.CachedTokens = 8000 })}, "y"},
+		{"not where the last attempts failed", prompt, []balance.Candidate{
+			named("x", func(c *balance.Candidate) { c.Doubt = 1 }), named("y", func(c *balance.Candidate) { c.Load = 1 })}, "y"},
+		{"a doubtful one when there is no other", prompt, []balance.Candidate{named("x", func(c *balance.Candidate) { c.Doubt = 1 })}, "x"},
+		{"no cold one beyond its rate", prompt, []balance.Candidate{named("x", func(c *balance.Candidate) { c.Cold = true })}, ""},
+		{"a cold one within its rate", prompt, []balance.Candidate{named("x", func(c *balance.Candidate) { c.Cold, c.ColdReady = true, true })}, "x"},
+	}
+	for _, c := range cases {
+		t.Run(c.desc, func(t *testing.T) {
+			got := ""
+			if i := balance.Choose(c.candidates, c.request, "r"); i >= 0 {
+				got = c.candidates[i].ID
+			}
+			if got != c.want {
+				t.Errorf("chose %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+func pool(n int) []balance.Candidate {
+	var out []balance.Candidate
+	for i := range n {
+		out = append(out, named(fmt.Sprintf("s%02d", i), nil))
+	}
+	return out
+}
+
+// Guards against instances that read the same shared prompt on every engine: they agree on one without talking.
+func TestInstancesAgreeOnTheHomeOfAPrompt(t *testing.T) {
+	candidates := pool(18)
+	request := &balance.Request{Model: "m", PromptTokens: 6000, Pace: 1, Zone: "a", Models: 1,
+		Parts: []balance.PromptPart{{ID: "system", Tokens: 500}, {ID: "subject", Tokens: 4500}, {ID: "own", Tokens: 1000}}}
+	want := balance.Choose(candidates, request, "first")
+	for i := range 50 {
+		if got := balance.Choose(candidates, request, fmt.Sprint("request", i)); got != want {
+			t.Fatalf("request %d went to %d, the others to %d", i, got, want)
+		}
+	}
+}
+
+// Guards against requests of the smallest model that wait behind the long prompts of the largest one: their engines are
+// disjoint while there is room.
+func TestModelsOfUnlikePaceHaveEnginesOfTheirOwn(t *testing.T) {
+	candidates := pool(9)
+	small, large := map[int]bool{}, map[int]bool{}
+	for i := range 200 {
+		salt := fmt.Sprint(i)
+		small[balance.Choose(candidates, &balance.Request{Models: 3, ModelRank: 0, PromptTokens: 800, Pace: 0.1, Zone: "a"}, salt)] = true
+		large[balance.Choose(candidates, &balance.Request{Models: 3, ModelRank: 2, PromptTokens: 800, Pace: 1, Zone: "a"}, salt)] = true
+	}
+	for i := range small {
+		if large[i] {
+			t.Errorf("engine %d runs both", i)
+		}
+	}
+	if len(small) != 2 || len(large) != 7 {
+		t.Errorf("%d engines run the small model and %d the large one, want 2 and 7 of 9", len(small), len(large))
+	}
+}
+
+// Guards against large models that are asked so often under load that every answer comes late.
+func TestSurenessFallsWithThePressure(t *testing.T) {
+	last := 101
+	for _, pressure := range []float64{0, 0.05, 0.1, 0.2, 0.3, 0.4, 2} {
+		sure := balance.Sureness(60, pressure)
+		if sure > last {
+			t.Fatalf("at a pressure of %g the confidence asked rises to %d", pressure, sure)
+		}
+		last = sure
+	}
+	if calm := balance.Sureness(60, 0); calm != 60 {
+		t.Errorf("%d is asked without pressure, want 60", calm)
+	}
+	if full := balance.Sureness(60, 5); full <= 0 || full > 10 {
+		t.Errorf("%d is asked at full pressure, want the most doubtful answers only", full)
+	}
+}
+
+// Guards against a cold backend server that falls over because each instance keeps to its own rate only. It replays
+// instances that all have more requests than the cold server bears, and counts each span of a second.
+func TestColdRateHoldsOverAllInstances(t *testing.T) {
+	for _, c := range []struct {
+		instances int
+		perSecond float64
+		bears     int // what a server bears in one second beyond which it falls over
+	}{{6, 10, 20}, {9, 16, 29}, {1, 10, 20}} {
+		var sent []time.Duration
+		rng := rand.New(rand.NewPCG(1, uint64(c.instances)))
+		row := []balance.Row{{ID: "cold", Zone: "a", Slots: 64, ColdFor: 10 * time.Second}}
+		request := &balance.Request{Zone: "a"}
+		for range c.instances {
+			tracker := balance.NewTracker()
+			rate := balance.ColdRate(c.perSecond, c.instances)
+			for at := time.Duration(rng.Int64N(int64(20 * time.Millisecond))); at < 5*time.Second; at += 20 * time.Millisecond {
+				now := start.Add(at)
+				if balance.Choose(tracker.Candidates(now, row, request, rate), request, "r") >= 0 {
+					_, done := tracker.Sent(now, "cold", request, rate)
+					done()
+					sent = append(sent, at)
+				}
+			}
+		}
+		most := 0
+		for _, from := range sent {
+			n := 0
+			for _, at := range sent {
+				if at >= from && at < from+time.Second {
+					n++
+				}
+			}
+			most = max(most, n)
+		}
+		if most > c.bears {
+			t.Errorf("%d instances sent %d requests in one second, the server bears %d", c.instances, most, c.bears)
+		}
+		if total := len(sent); float64(total) < 0.5*5*c.perSecond {
+			t.Errorf("%d instances sent %d requests in 5 s, so that half of the allowed rate is not used", c.instances, total)
+		}
+	}
+}
+
+// Guards against a backend server that is avoided for ever after a failure.
+func TestDoubtEnds(t *testing.T) {
+	tracker := balance.NewTracker()
+	rows, request := []balance.Row{{ID: "s", Zone: "a", Slots: 8}}, &balance.Request{Zone: "a"}
+	doubt := func(at time.Duration) float64 { return tracker.Candidates(start.Add(at), rows, request, 0)[0].Doubt }
+	for range 20 {
+		tracker.Failed(start, "s")
+	}
+	if doubt(time.Second) == 0 {
+		t.Error("a server that failed 20 times is trusted after a second")
+	}
+	if doubt(5*time.Second) != 0 {
+		t.Error("a server is still avoided 5 s after its last failure")
+	}
+}
+
+// Guards against counts that never come back, so that a server looks busy for ever.
+func TestSentIsGivenBackOnce(t *testing.T) {
+	tracker := balance.NewTracker()
+	rows, request := []balance.Row{{ID: "s", Zone: "a", Slots: 8}}, &balance.Request{PromptTokens: 1000, Pace: 1, Zone: "a"}
+	begun, done := tracker.Sent(start, "s", request, 0)
+	if c := tracker.Candidates(start, rows, request, 0)[0]; c.Load != 1.0/8 || c.Queue != 1000 {
+		t.Errorf("load %g and queue %g while a request waits", c.Load, c.Queue)
+	}
+	begun()
+	begun()
+	done()
+	done()
+	if c := tracker.Candidates(start, rows, request, 0)[0]; c.Load != 0 || c.Queue != 0 {
+		t.Errorf("load %g and queue %g after the end", c.Load, c.Queue)
+	}
+}
+
+func BenchmarkChoose600(b *testing.B) {
+	tracker := balance.NewTracker()
+	request := &balance.Request{Models: 3, ModelRank: 2, PromptTokens: 8000, Pace: 1, Zone: "a",
+		Parts: []balance.PromptPart{{ID: "system", Tokens: 500}, {ID: "subject", Tokens: 4500}, {ID: "own", Tokens: 1000}}}
+	var rows []balance.Row
+	for i := range 600 {
+		rows = append(rows, balance.Row{ID: fmt.Sprintf("s%03d", i), Zone: "a", Slots: 64})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		balance.Choose(tracker.Candidates(start, rows, request, 0), request, "r")
+	}
+}
--- /dev/null
+++ b/server/fleet/stated_test.go
@@ -0,0 +1,124 @@
+package fleet_test
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"clementinetray/api/control"
+	"clementinetray/server/controlstate"
+	"clementinetray/server/fleet"
+)
+
+// stated is the announcement of a backend server that states its start, its cold time and its sequence.
+func stated(id string, started, sequence int64, change ...func(*control.Announcement)) control.Announcement {
+	a := control.Announcement{
+		ID: id, Boot: time.UnixMilli(started).UTC().Format(time.RFC3339Nano), Address: "127.0.0.1:80", AvailabilityZone: "a",
+		Service: "pool", SoftwareVersion: "v1", Capacity: 8, Started: started, Sequence: sequence, StatesCold: true,
+	}
+	for _, f := range change {
+		f(&a)
+	}
+	return a
+}
+
+func leaving(a *control.Announcement) { a.Leaving = true }
+
+var _ = Describe("backend servers that state their start", func() {
+	var table *fleet.Table
+	now := start
+	row := func(id string) *control.BackendServer { return table.Snapshot(now).Servers[id] }
+	BeforeEach(func() {
+		table = fleet.NewTable()
+		table.Reset(now, fleet.Epoch(1))
+	})
+
+	It("are in service at once, and say themselves how long they are cold", func() {
+		Expect(table.Announce(now, stated("s", 1, 1, func(a *control.Announcement) { a.ColdMillis = 3000 }))).To(Succeed())
+		Expect(row("s").Phase).To(Equal(control.PhaseInService))
+		Expect(row("s").ColdMillis).To(Equal(int64(3000)))
+	})
+
+	// Each case guards against work for a backend server that left, or is another one by now.
+	DescribeTable("late announcements change nothing",
+		func(late control.Announcement, earlier ...control.Announcement) {
+			for _, a := range earlier {
+				Expect(table.Announce(now, a)).To(Succeed())
+			}
+			before := *row(earlier[len(earlier)-1].ID)
+			Expect(fleet.ErrStaleBoot.Has(table.Announce(now, late))).To(BeTrue())
+			Expect(*row(before.ID)).To(Equal(before))
+		},
+		Entry("a lower sequence of the same start", stated("s", 1, 4), stated("s", 1, 3), stated("s", 1, 5, leaving)),
+		Entry("the same sequence again", stated("s", 1, 5), stated("s", 1, 5, leaving)),
+		Entry("an earlier start under the same id", stated("s", 1, 9), stated("s", 2, 1)),
+		Entry("an earlier start at the same address", stated("old", 1, 9), stated("new", 2, 1)),
+	)
+
+	It("replace those that started before them at the same address", func() {
+		Expect(table.Announce(now, stated("old", 1, 9))).To(Succeed())
+		Expect(table.Announce(now, stated("new", 2, 1))).To(Succeed())
+		Expect(row("old")).To(BeNil())
+		Expect(row("new")).NotTo(BeNil())
+	})
+
+	// Guards against new work for a backend server that deregistered before it said that it leaves.
+	It("stay leaving once they have deregistered, until they start again", func() {
+		Expect(table.Announce(now, stated("s", 1, 1))).To(Succeed())
+		table.Leave(now, control.Leave{ID: "s", Started: 1})
+		Expect(table.Announce(now, stated("s", 1, 2))).To(Succeed())
+		Expect(row("s").Leaving).To(BeTrue())
+		Expect(row("s").Phase).To(Equal(control.PhaseLeaving))
+		Expect(table.Announce(now, stated("s", 2, 1))).To(Succeed())
+		Expect(row("s").Phase).To(Equal(control.PhaseInService))
+	})
+
+	It("ignore a deregistration of an earlier start", func() {
+		Expect(table.Announce(now, stated("s", 2, 1))).To(Succeed())
+		table.Leave(now, control.Leave{ID: "s", Started: 1})
+		Expect(row("s").Leaving).To(BeFalse())
+	})
+})
+
+// recorded is the replicated record of backend servers without a log.
+type recorded struct{ state *controlstate.State }
+
+func (r *recorded) Servers() []control.Announcement { return r.state.Servers() }
+
+func (r *recorded) ProposeCommand(_ context.Context, c *controlstate.Command) (any, error) {
+	data, err := c.Encode()
+	if err != nil {
+		return nil, err
+	}
+	return r.state.Apply(1, data), nil
+}
+
+var _ = Describe("the recorder of the fleet", func() {
+	// Guards against a new control leader that knows no backend server until each has announced itself again.
+	It("gives a leader that starts with an empty table what the last one recorded", func() {
+		state := &recorded{controlstate.New()}
+		log := slog.New(slog.DiscardHandler)
+		first := fleet.NewTable()
+		first.Reset(time.Now(), fleet.Epoch(1))
+		Expect(first.Announce(time.Now(), stated("s", 1, 7, leaving))).To(Succeed())
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = fleet.NewRecorder(first, state, state, log).Run(ctx, 1)
+		}()
+		Eventually(state.Servers, 3*time.Second).Should(HaveLen(1))
+		cancel()
+		<-done
+
+		second := fleet.NewTable()
+		second.Reset(time.Now(), fleet.Epoch(2))
+		Expect(second.Seed(time.Now(), state.Servers())).To(Equal(1))
+		got := second.Snapshot(time.Now()).Servers["s"]
+		Expect(got.Leaving).To(BeTrue())
+		Expect(got.Address).To(Equal("127.0.0.1:80"))
+	})
+})
--- /dev/null
+++ b/server/rollout/service_test.go
@@ -0,0 +1,141 @@
+package rollout
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"clementinetray/api/control"
+)
+
+// answers makes a sample of requests whose times to the first byte scatter around a typical one.
+func answers(rng *rand.Rand, requests int, failing float64, typical time.Duration) *sample {
+	s := &sample{}
+	for range requests {
+		o := control.Outcome{Requests: 1}
+		if rng.Float64() < failing {
+			o.Failures = 1
+		} else {
+			log := math.Log(float64(typical.Milliseconds())) + rng.NormFloat64()
+			o.Timed, o.LogFirstSum, o.LogFirstSquares = 1, log, log*log
+		}
+		s.add(&o)
+	}
+	return s
+}
+
+// Each case guards against a bad version that stays, or a good one that is rolled back.
+func TestWorse(t *testing.T) {
+	cases := []struct {
+		desc                string
+		oldFails, newFails  float64
+		oldFirst, newFirst  time.Duration
+		requests, wantAtMin int // wantAtMin: how many of 100 draws must be found bad
+		wantAtMost          int
+	}{
+		{"as good as the old version", 0.01, 0.01, 100 * time.Millisecond, 100 * time.Millisecond, 60, 0, 2},
+		{"fails half of its requests", 0.01, 0.5, 100 * time.Millisecond, 100 * time.Millisecond, 20, 98, 100},
+		{"fails two of five requests", 0.01, 0.4, 100 * time.Millisecond, 100 * time.Millisecond, 25, 95, 100},
+		{"both fail now and then", 0.14, 0.14, 40 * time.Millisecond, 40 * time.Millisecond, 60, 0, 2},
+		{"eight times slower", 0.01, 0.01, 100 * time.Millisecond, 800 * time.Millisecond, 20, 95, 100},
+		{"a little slower", 0.01, 0.01, 100 * time.Millisecond, 130 * time.Millisecond, 60, 0, 2},
+		{"two answers are no evidence", 0.01, 0.01, 100 * time.Millisecond, 800 * time.Millisecond, 2, 0, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.desc, func(t *testing.T) {
+			rng, bad := rand.New(rand.NewPCG(1, 2)), 0
+			for range 100 {
+				if _, found := worse(answers(rng, 300, c.oldFails, c.oldFirst), answers(rng, c.requests, c.newFails, c.newFirst)); found {
+					bad++
+				}
+			}
+			if bad < c.wantAtMin || bad > c.wantAtMost {
+				t.Errorf("found bad in %d of 100 draws, want %d to %d", bad, c.wantAtMin, c.wantAtMost)
+			}
+		})
+	}
+}
+
+// Guards against a roll-out that ends too late, too early, or moves sessions in its first half.
+func TestNextProgress(t *testing.T) {
+	r := control.ServiceRollout{Service: "pool", To: "v2", Seconds: 20, State: control.RolloutRunning}
+	cases := []struct {
+		desc    string
+		elapsed time.Duration
+		served  int
+		reason  string
+		state   control.RolloutState
+		percent int
+		settled bool
+	}{
+		{"begins with a small share", 0, 0, "", control.RolloutRunning, 6, false},
+		{"keeps sessions in its first half", 9900 * time.Millisecond, 50, "", control.RolloutRunning, 6, false},
+		{"moves sessions after that", 10 * time.Second, 50, "", control.RolloutRunning, 15, true},
+		{"takes all before the end", 16 * time.Second, 50, "", control.RolloutRunning, 100, true},
+		{"succeeds before the time limit", 18 * time.Second, 50, "", control.RolloutDone, 100, true},
+		{"does not succeed unseen", 18 * time.Second, 0, "", control.RolloutRunning, 100, true},
+		{"is rolled back unseen at the time limit", 20 * time.Second, 0, "", control.RolloutRolledBack, 100, true},
+		{"is rolled back at once when it is bad", 3 * time.Second, 9, "fails", control.RolloutRolledBack, 6, false},
+		{"is rolled back when it turns bad late", 19 * time.Second, 90, "fails", control.RolloutRolledBack, 100, true},
+	}
+	for _, c := range cases {
+		t.Run(c.desc, func(t *testing.T) {
+			next := nextProgress(r, c.elapsed, c.served, c.reason)
+			if next.State != c.state || next.Percent != c.percent || next.Settled != c.settled {
+				t.Errorf("state %s, %d%%, settled %t; want %s, %d%%, %t", next.State, next.Percent, next.Settled, c.state, c.percent, c.settled)
+			}
+		})
+	}
+}
+
+// Guards against steps that let a version which turns bad at any time reach more callers than the time limit allows: 15% of
+// all requests and 30 beside them, with 2 s until every instance has stopped.
+func TestStepsBoundTheExposure(t *testing.T) {
+	const perSecond, limit, reaction = 33.0, 24 * time.Second, 2 * time.Second
+	r := control.ServiceRollout{Seconds: int(limit / time.Second), State: control.RolloutRunning}
+	for badFrom := time.Duration(0); badFrom < limit; badFrom += time.Second / 2 {
+		exposed, failures, stoppedAt := 0.0, 0.0, time.Duration(-1)
+		const step = 50 * time.Millisecond
+		for at := time.Duration(0); at < limit; at += step {
+			progress := nextProgress(r, at, 50, "")
+			if progress.State == control.RolloutDone {
+				break
+			}
+			sent := perSecond * step.Seconds() * float64(progress.Percent) / 100
+			if stoppedAt < 0 || at < stoppedAt {
+				exposed += sent
+			}
+			if at >= badFrom {
+				failures += sent * 0.4
+			}
+			if failures >= 4 && stoppedAt < 0 {
+				stoppedAt = at + reaction
+			}
+		}
+		if bound := 0.15*perSecond*limit.Seconds() + 30; badFrom < 18*time.Second && exposed > bound {
+			t.Errorf("bad from %s on: %.0f requests were exposed, at most %.0f are allowed", badFrom, exposed, bound)
+		}
+	}
+}
+
+// Guards against a version that is bad on one route only and hides behind the others.
+func TestJudgeLooksAtEachRoute(t *testing.T) {
+	c := NewServiceController(nil, nil, nil, nil)
+	add := func(version, route string, requests, failures int) {
+		c.AddOutcomes(time.Now(), "e1", []control.Outcome{{
+			Service: "pool", SoftwareVersion: version, Class: route, Requests: requests, Failures: failures,
+		}})
+	}
+	add("v1", "drafts", 400, 2)
+	add("v1", "tags", 400, 2)
+	add("v2", "drafts", 100, 0)
+	if _, reason := c.judge(control.ServiceRollout{Service: "pool", To: "v2"}); reason != "" {
+		t.Fatalf("a version without failures is %q", reason)
+	}
+	add("v2", "tags", 8, 5)
+	served, reason := c.judge(control.ServiceRollout{Service: "pool", To: "v2"})
+	if served != 108 || reason == "" {
+		t.Fatalf("served %d, reason %q; want 108 and a reason", served, reason)
+	}
+}
