--- a/server/entry/fakes_test.go
+++ b/server/entry/fakes_test.go
@@ -389,3 +389,10 @@
 	}
 	return out
 }
+
+// rolledBack says that the roll-out of a service to a version was rolled back.
+func rolledBack(service, version string) *control.Rollouts {
+	return &control.Rollouts{Services: map[string]control.ServiceRollout{service: {
+		Service: service, To: version, State: control.RolloutRolledBack, RolledBack: []string{version},
+	}}}
+}
--- /dev/null
+++ b/server/entry/routed_test.go
@@ -0,0 +1,286 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"clementinetray/api/catalogue"
+	"clementinetray/api/problem"
+	"clementinetray/server/entry"
+)
+
+// routedSite serves one route to the service "orders" on the path /r/.
+func routedSite(route catalogue.Route, backends ...*backend) *site {
+	s := newSite(func(c *entry.Config) { c.RoutedRetryPart, c.RoutedRetryFree = 1, 100 })
+	s.route(route)
+	s.serveAs("v1", backends...)
+	return s
+}
+
+func (s *site) route(route catalogue.Route) {
+	route.Name, route.Host, route.PathPrefix = "r", "127.0.0.1", "/r/"
+	route.Targets = []catalogue.Target{{Service: "orders", Weight: 1}}
+	if route.TimeLimitMillis == 0 {
+		route.TimeLimitMillis = 2000
+	}
+	s.change(func(c *catalogue.Catalogue) {
+		c.Routes = []catalogue.Route{route}
+		c.Services[0].Pool = &catalogue.Pool{Engine: &catalogue.Engine{Slots: 8, Models: []catalogue.EngineModel{
+			{Name: "small", CostPerThousandTokens: 1}, {Name: "large", CostPerThousandTokens: 10},
+		}}}
+	})
+}
+
+func (s *site) serveAs(version string, backends ...*backend) {
+	rows := s.table.ByService["orders"]
+	for _, b := range backends {
+		r := row(b)
+		r.SoftwareVersion, r.StatesCold, r.Service = version, true, "orders"
+		rows = append(rows, r)
+	}
+	s.serve(catalogue.VersionRef{}, rows...)
+}
+
+// echo answers with the attempt's id.
+func echo(status int, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+// notRun says that the request did not run.
+func notRun(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Clementinetray-Not-Run", "1")
+	echo(http.StatusServiceUnavailable, "")(w, r)
+}
+
+func crossed(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("X-Attempt-Id", "of-another-request")
+	_, _ = io.WriteString(w, "another caller's answer")
+}
+
+// events streams numbered events from the one after the caller's last on, and ends as then says.
+func events(count int, then func(http.ResponseWriter)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		first := 1
+		if last := r.Header.Get("Last-Event-ID"); last != "" {
+			_, err := fmt.Sscan(last, &first)
+			Expect(err).NotTo(HaveOccurred())
+			first++
+		}
+		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+		w.Header().Set("Content-Type", "text/event-stream")
+		for i := first; i < first+count && i <= 6; i++ {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: %d\n\n", i, i)
+			w.(http.Flusher).Flush()
+		}
+		if then != nil {
+			then(w)
+		}
+	}
+}
+
+// cutInEvent ends the connection in the middle of an event.
+func cutInEvent(w http.ResponseWriter) {
+	_, _ = io.WriteString(w, "id: 9\ndata: hal")
+	w.(http.Flusher).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+const sixEvents = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\nid: 4\ndata: 4\n\nid: 5\ndata: 5\n\nid: 6\ndata: 6\n\n"
+
+var _ = Describe("routed requests", func() {
+	once := catalogue.Route{Kind: catalogue.KindOnce, MaxAttempts: 3}
+	idempotent := catalogue.Route{Kind: catalogue.KindIdempotent, MaxAttempts: 3}
+
+	// Guards against a request that runs twice, a refusal that lies about that, and one that fails though another backend
+	// server could answer it. The first backend server answers each request by the fault, the others well.
+	DescribeTable("a fault of the first backend server",
+		func(route catalogue.Route, fault http.HandlerFunc, wantStatus int, wantNotRun bool, wantCalls int) {
+			var calls atomic.Int64
+			serve := func(w http.ResponseWriter, r *http.Request) {
+				if calls.Add(1) == 1 {
+					fault(w, r)
+					return
+				}
+				echo(http.StatusOK, "well")(w, r)
+			}
+			s := routedSite(route, newBackend("b1", serve), newBackend("b2", serve), newBackend("b3", serve))
+			got := send(s.request("POST", "/r/x", "body"))
+			Expect(got.status).To(Equal(wantStatus))
+			Expect(got.problem.NotRun).To(Equal(wantNotRun))
+			Expect(calls.Load()).To(Equal(int64(wantCalls)))
+		},
+		Entry("a closed connection ends what may run once", once, cutAtOnce, http.StatusConflict, false, 1),
+		Entry("a closed connection repeats what may be repeated", idempotent, cutAtOnce, http.StatusOK, false, 2),
+		Entry("half an answer ends what may run once", once, cutInBody, http.StatusConflict, false, 1),
+		Entry("half an answer repeats what may be repeated", idempotent, cutInBody, http.StatusOK, false, 2),
+		Entry("proof that it did not run repeats anything", once, notRun, http.StatusOK, false, 2),
+		Entry("another request's answer ends what may run once", once, crossed, http.StatusConflict, false, 1),
+		Entry("another request's answer repeats what may be repeated", idempotent, crossed, http.StatusOK, false, 2),
+		Entry("a failure of the application is passed on", once, echo(http.StatusInternalServerError, "sorry"), http.StatusInternalServerError, false, 1),
+		Entry("a failure of the application is repeated where that is allowed", idempotent, echo(http.StatusInternalServerError, "sorry"), http.StatusOK, false, 2),
+		Entry("silence ends at the route's time limit", catalogue.Route{Kind: catalogue.KindOnce, TimeLimitMillis: 300}, hang, http.StatusGatewayTimeout, false, 1),
+	)
+
+	It("passes a backend server's failure on when each attempt fails", func() {
+		s := routedSite(idempotent, newBackend("b1", echo(500, "sorry")), newBackend("b2", echo(500, "sorry")))
+		got := send(s.request("GET", "/r/x", ""))
+		Expect(got.status).To(Equal(500))
+		Expect(got.body).To(Equal("sorry"))
+	})
+
+	It("sends one request to no more backend servers than the route allows", func() {
+		var calls atomic.Int64
+		fault := func(w http.ResponseWriter, r *http.Request) { calls.Add(1); notRun(w, r) }
+		s := routedSite(catalogue.Route{Kind: catalogue.KindIdempotent, MaxAttempts: 2},
+			newBackend("b1", fault), newBackend("b2", fault), newBackend("b3", fault))
+		got := send(s.request("GET", "/r/x", ""))
+		Expect(got.problem.NotRun).To(BeTrue())
+		Expect(calls.Load()).To(Equal(int64(2)))
+	})
+
+	// Guards against 404 and 401 for what is allowed, and for what is not yet known.
+	DescribeTable("refusals before the body is read",
+		func(prepare func(*site, *http.Request), wantReason problem.Reason) {
+			s := routedSite(idempotent, newBackend("b1", echo(200, "")))
+			r := s.request("GET", "/r/x", "")
+			prepare(s, r)
+			got := send(r)
+			Expect(got.problem.Reason).To(Equal(wantReason))
+			Expect(got.problem.NotRun).To(BeTrue())
+		},
+		Entry("no key", func(_ *site, r *http.Request) { r.Header.Del("Authorization") }, problem.Unauthorized),
+		Entry("an unknown key", func(_ *site, r *http.Request) { r.Header.Set("Authorization", "Bearer no") }, problem.Unauthorized),
+		Entry("a path without a route", func(_ *site, r *http.Request) { r.URL.Path = "/other/x" }, problem.NotFound),
+		Entry("an unreadable deadline", func(_ *site, r *http.Request) { r.Header.Set(entry.HeaderDeadline, "soon") }, problem.InvalidRequest),
+		Entry("a view that is too old", func(s *site, _ *http.Request) { s.confirm(time.Now().Add(-time.Hour)) }, problem.ViewStale),
+	)
+
+	It("needs no key on an anonymous route", func() {
+		s := routedSite(catalogue.Route{Kind: catalogue.KindIdempotent, Anonymous: true}, newBackend("b1", echo(200, "well")))
+		r := s.request("GET", "/r/x", "")
+		r.Header.Del("Authorization")
+		Expect(send(r).body).To(Equal("well"))
+	})
+
+	// Guards against callers that pose as the router and against keys that reach backend servers.
+	It("keeps what only the router may say from backend servers", func() {
+		b := newBackend("b1", echo(200, ""))
+		s := routedSite(idempotent, b)
+		send(s.request("GET", "/r/x?a=1", "", "Clementinetray-Workspace", "other", "Clementinetray-Backend-Server", "b9", "X-Own", "kept"))
+		got := b.requests()[0]
+		Expect(got.path).To(Equal("/r/x?a=1"))
+		Expect(got.header).NotTo(HaveKey("Authorization"))
+		Expect(got.header.Get("Clementinetray-Workspace")).To(Equal("acme"))
+		Expect(got.header.Get("Clementinetray-Backend-Server")).To(Equal("b1"))
+		Expect(got.header.Get("X-Own")).To(Equal("kept"))
+	})
+
+	It("cancels the attempt when its caller leaves", func() {
+		ended := make(chan struct{})
+		s := routedSite(idempotent, newBackend("b1", func(_ http.ResponseWriter, r *http.Request) {
+			<-r.Context().Done()
+			close(ended)
+		}))
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() {
+			defer GinkgoRecover()
+			time.Sleep(50 * time.Millisecond)
+			cancel()
+		}()
+		_, err := http.DefaultClient.Do(s.request("POST", "/r/x", "body").WithContext(ctx))
+		Expect(err).To(HaveOccurred())
+		Eventually(ended, 500*time.Millisecond).Should(BeClosed())
+	})
+
+	It("is unready at once when it stops, and serves until the load balancer has noticed", func() {
+		s := newSite(func(c *entry.Config) { c.ServeLeaving, c.ServeLeavingStreams = 300*time.Millisecond, 100*time.Millisecond })
+		s.route(idempotent)
+		s.serveAs("v1", newBackend("b1", echo(200, "well")))
+		drained := make(chan error, 1)
+		go func() { drained <- s.handler.Drain(context.Background()) }()
+		Eventually(func() int { return send(s.request("GET", "/readyz", "")).status }).Should(Equal(http.StatusServiceUnavailable))
+		Expect(send(s.request("GET", "/r/x", "")).status).To(Equal(http.StatusOK))
+		s.route(catalogue.Route{Kind: catalogue.KindStream})
+		time.Sleep(120 * time.Millisecond)
+		Expect(send(s.request("GET", "/r/x", "")).problem.Reason).To(Equal(problem.Stopping), "a late stream would be cut")
+		Eventually(drained).Should(Receive(BeNil()))
+		s.route(idempotent)
+		Expect(send(s.request("GET", "/r/x", "")).problem.Reason).To(Equal(problem.Stopping))
+	})
+})
+
+var _ = Describe("routed streams", func() {
+	resumable := catalogue.Route{Kind: catalogue.KindStream, Resumable: true, MaxAttempts: 3}
+
+	// Guards against events that are lost, repeated or joined from two halves.
+	DescribeTable("a stream that breaks",
+		func(route catalogue.Route, first func(http.ResponseWriter), wantBody string, wantCut bool) {
+			var calls atomic.Int64
+			serve := func(w http.ResponseWriter, r *http.Request) {
+				if calls.Add(1) == 1 {
+					events(3, first)(w, r)
+					return
+				}
+				events(6, nil)(w, r)
+			}
+			s := routedSite(route, newBackend("b1", serve), newBackend("b2", serve))
+			got := send(s.request("POST", "/r/x", "body"))
+			Expect(got.status).To(Equal(http.StatusOK))
+			Expect(got.body).To(Equal(wantBody))
+			Expect(got.cut).To(Equal(wantCut))
+		},
+		Entry("between two events goes on at another backend server", resumable, cut, sixEvents, false),
+		Entry("in the middle of an event goes on without a trace of it", resumable, cutInEvent, sixEvents, false),
+		Entry("ends without looking whole where it may not be resumed", catalogue.Route{Kind: catalogue.KindStream, MaxAttempts: 3}, cut,
+			"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n", true),
+	)
+
+	It("goes on behind the last event that the caller has", func() {
+		s := routedSite(resumable, newBackend("b1", events(6, nil)))
+		got := send(s.request("POST", "/r/x", "body", "Last-Event-ID", "4"))
+		Expect(got.body).To(Equal("id: 5\ndata: 5\n\nid: 6\ndata: 6\n\n"))
+	})
+
+	It("passes each event on as it arrives", func() {
+		release := make(chan struct{})
+		s := routedSite(resumable, newBackend("b1", func(w http.ResponseWriter, r *http.Request) {
+			events(1, nil)(w, r)
+			await(r, release)
+			_, _ = io.WriteString(w, "id: 2\ndata: 2\n\n")
+		}))
+		answer, err := http.DefaultClient.Do(s.request("POST", "/r/x", "body"))
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = answer.Body.Close() }()
+		first := make([]byte, len("id: 1\ndata: 1\n\n"))
+		_, err = io.ReadFull(answer.Body, first)
+		Expect(err).NotTo(HaveOccurred())
+		close(release)
+		rest, err := io.ReadAll(answer.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(rest)).To(Equal("id: 2\ndata: 2\n\n"))
+	})
+})
+
+var _ = Describe("software versions", func() {
+	It("runs on those that the roll-out allows only", func() {
+		old, fresh := newBackend("b1", echo(200, "old")), newBackend("b2", echo(200, "new"))
+		s := routedSite(catalogue.Route{Kind: catalogue.KindIdempotent}, old)
+		s.serveAs("v2", fresh)
+		s.current.Rollouts = rolledBack("orders", "v2")
+		s.confirm(time.Now())
+		for range 20 {
+			Expect(send(s.request("GET", "/r/x", "")).body).To(Equal("old"))
+		}
+	})
+})
