--- a/server/entry/routed.go
+++ b/server/entry/routed.go
@@ -50,8 +50,9 @@
 		// The caller's next request must reach another instance.
 		w.Header().Set("Connection", "close")
 	}
+	arrived := time.Now()
 	h.awaitView(r.Context())
-	rq, p := h.admitRouted(r)
+	rq, p := h.admitRouted(r, arrived)
 	if rq != nil {
 		defer rq.close()
 	}
@@ -76,15 +77,14 @@
 }
 
 // admitRouted runs the steps before the body is read: view, route, key, headers.
-func (h *Handler) admitRouted(r *http.Request) (*request, *problem.Problem) {
-	now := time.Now()
+func (h *Handler) admitRouted(r *http.Request, arrived time.Time) (*request, *problem.Problem) {
 	view := h.cfg.Board.View.Load()
 	if view.View == nil || view.Catalogue == nil || len(view.Catalogue.Routes) == 0 {
 		return nil, problem.New(problem.ViewStale, "no catalogue was received yet").Unrun().After(noViewRetry)
 	}
 	call, err := h.cfg.Dialect.ReadCall(r)
 	rq := &request{
-		id: call.ID, start: now, zone: h.cfg.AvailabilityZone, revision: view.Revision, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		id: call.ID, start: arrived, zone: h.cfg.AvailabilityZone, revision: view.Revision, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		routed: &routedCall{Call: call, method: r.Method, target: r.URL.RequestURI(), host: r.Host, path: r.URL.Path, delivered: call.LastEvent},
 	}
 	if rq.id == "" {
@@ -94,7 +94,7 @@
 	if err != nil {
 		return rq, problem.New(problem.InvalidRequest, err.Error()).Unrun()
 	}
-	if p := h.checkView(now); p != nil {
+	if p := h.checkView(time.Now()); p != nil {
 		return rq, p.Unrun()
 	}
 	rq.routed.route = view.Catalogue.FindRoute(r.Host, r.URL.Path)
@@ -105,7 +105,7 @@
 		return rq, p
 	}
 	rq.routed.header = h.cfg.Dialect.Outgoing(r.Header)
-	rq.setLimit(now)
+	rq.setLimit(arrived)
 	rq.routed.service = chooseTarget(rq.routed.route, rq.id)
 	rq.route.Service = rq.routed.service
 	return rq, nil
