--- a/server/balance/balance.go
+++ b/server/balance/balance.go
@@ -146,6 +146,18 @@
 	mostRelaxed = 0.9
 )
 
+// NextModel returns the position of the model that a request goes on to when the model at a position doubts its answer: the
+// next one when little was missing, else the largest.
+func NextModel(at, models, confidence, sure int) int {
+	if at+1 < models-1 && 100*confidence >= nearlySure*sure {
+		return at + 1
+	}
+	return models - 1
+}
+
+// nearlySure is the share of the confidence asked, in percent, from which on the next larger model is likely to do.
+const nearlySure = 60
+
 // tieShare is the largest score that the salt decides over.
 const tieShare = 0.02
 
--- a/server/entry/routed_place.go
+++ b/server/entry/routed_place.go
@@ -167,7 +167,7 @@
 		rq.tries >= rq.maxTries() {
 		return ""
 	}
-	larger := models[len(models)-1]
+	larger := models[balance.NextModel(slices.Index(models, call.model), len(models), confidence, h.cfg.SureConfidence)]
 	pressure := h.pressureOf(rq, larger)
 	if sure := balance.Sureness(h.cfg.SureConfidence, pressure); confidence >= sure {
 		h.cfg.Log.Info("larger_model_busy", "request", rq.id, "confidence", confidence, "sure", sure, "pressure", pressure)
