--- a/server/balance/balance.go
+++ b/server/balance/balance.go
@@ -36,6 +36,8 @@
 // Candidate is one backend server as this entry instance knows it now.
 type Candidate struct {
 	ID, Zone string
+	// Hash is Hash(ID), by which all instances rank candidates alike.
+	Hash uint64
 	// Load is the estimated share of its slots that is in use, over all entry instances.
 	Load float64
 	// Queue is the estimated number of prompt tokens that wait to be read, in tokens of the slowest model.
@@ -61,9 +63,9 @@
 	gapScale = time.Second
 	// groupCost keeps requests on the backend servers of their model's group until those have this much more load.
 	groupCost = 0.5
-	// smallGroupShare is the part of a pool that runs the smallest model. Every request runs there first, at a tenth of the
+	// smallGroupPercent is the part of a pool, in percent, that runs the smallest model. Every request runs there first, at a tenth of the
 	// time of the largest model.
-	smallGroupShare = 0.22
+	smallGroupPercent = 22
 	// otherZoneCost is the score of the way to another availability zone, in units of load: the way costs a few ms and
 	// bytes between zones are charged, so it is worth a small imbalance only.
 	otherZoneCost = 0.06
@@ -81,13 +83,14 @@
 	best, bestScore := -1, math.Inf(1)
 	home := homeOf(candidates, r)
 	group := groupOf(candidates, r)
+	seed := Hash(salt)
 	for i := range candidates {
 		c := &candidates[i]
 		if c.Cold && !c.ColdReady {
 			continue
 		}
-		score := score(c, r, i == home) + tieBreak(salt, c.ID)
-		if group != nil && !group[i] {
+		score := score(c, r, i == home) + tieBreak(seed, c)
+		if !group.holds(c) {
 			score += groupCost
 		}
 		if score < bestScore {
@@ -120,7 +123,7 @@
 	least, found := 0.0, false
 	for i := range candidates {
 		c := &candidates[i]
-		if group != nil && !group[i] || c.Cold && !c.ColdReady || c.Doubt > 0 {
+		if !group.holds(c) || c.Cold && !c.ColdReady || c.Doubt > 0 {
 			continue
 		}
 		if p := c.Pressure(); !found || p < least {
@@ -161,7 +164,9 @@
 // tieShare is the largest score that the salt decides over.
 const tieShare = 0.02
 
-func tieBreak(salt, id string) float64 { return tieShare * float64(hash(salt, id)%1024) / 1024 }
+func tieBreak(seed uint64, c *Candidate) float64 {
+	return tieShare * float64(mix(seed^c.Hash)>>54) / (1 << 10)
+}
 
 // homeOf returns the candidate with the highest rendezvous rank for the shared parts of the prompt, so that all instances
 // send prompts with the same beginning to the same backend server without talking to each other; -1 without such parts.
@@ -170,38 +175,49 @@
 	if key == "" {
 		return -1
 	}
-	home, highest := -1, uint64(0)
+	home, highest, seed := -1, uint64(0), Hash(r.Model+"/"+key)
 	for i := range candidates {
-		if rank := hash(r.Model+"/"+key, candidates[i].ID); home < 0 || rank > highest {
+		if rank := mix(seed ^ candidates[i].Hash); home < 0 || rank > highest {
 			home, highest = i, rank
 		}
 	}
 	return home
 }
 
-// groupOf marks the backend servers that run the request's model: the smallest model has some of its own, because a small
-// request that shares an engine with the long prompts of a large model waits for those. nil when there is one group.
-func groupOf(candidates []Candidate, r *Request) []bool {
-	small := int(math.Round(smallGroupShare * float64(len(candidates))))
+// group is the part of a pool that runs a model: the candidates whose hash is below a limit, or those from it on.
+type group struct {
+	all   bool
+	limit uint64
+	below bool
+}
+
+func (g group) holds(c *Candidate) bool { return g.all || (c.Hash < g.limit) == g.below }
+
+// groupOf returns the backend servers that run the request's model: the smallest model has some of its own, because a small
+// request that shares an engine with the long prompts of a large model waits for those. Pools of one or two have one group.
+func groupOf(candidates []Candidate, r *Request) group {
+	small := (smallGroupPercent*len(candidates) + 50) / 100
 	if r.Models < 2 || small == 0 {
-		return nil
+		return group{all: true}
 	}
-	order := make([]int, len(candidates))
-	for i := range order {
-		order[i] = i
+	g := group{below: r.ModelRank == 0}
+	if len(candidates) > exactGroup {
+		g.limit = math.MaxUint64 / 100 * smallGroupPercent
+		return g
 	}
-	slices.SortFunc(order, func(a, b int) int {
-		return cmp.Compare(hash(groupSalt, candidates[a].ID), hash(groupSalt, candidates[b].ID))
-	})
-	group := make([]bool, len(candidates))
-	for at, i := range order {
-		group[i] = (at < small) == (r.ModelRank == 0)
+	var hashes [exactGroup]uint64
+	for i := range candidates {
+		hashes[i] = candidates[i].Hash
 	}
-	return group
+	sorted := hashes[:len(candidates)]
+	slices.Sort(sorted)
+	g.limit = sorted[small]
+	return g
 }
 
-// groupSalt orders backend servers into groups, the same on each instance.
-const groupSalt = "model group"
+// exactGroup is the largest pool whose small group has an exact number of members. In larger ones the share of the hashes
+// below a limit is close enough.
+const exactGroup = 64
 
 // sharedKey names the longest beginning of a prompt that other prompts may have too: all parts but the last.
 func sharedKey(parts []PromptPart) string {
@@ -211,17 +227,21 @@
 	return parts[len(parts)-2].ID
 }
 
-func hash(a, b string) uint64 {
+// Hash returns the rank of an id among others, the same on each instance.
+func Hash(id string) uint64 {
 	h := fnv.New64a()
-	_, _ = h.Write([]byte(a))
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(b))
-	x := h.Sum64()
-	// FNV-1a mixes the last bytes badly into the high bits; this is the finalizer of MurmurHash3.
+	_, _ = h.Write([]byte(id))
+	// FNV-1a mixes the last bytes badly into the high bits.
+	return mix(h.Sum64())
+}
+
+// mix is the finalizer of MurmurHash3.
+func mix(x uint64) uint64 {
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
 	x ^= x >> 33
-	return x
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
 }
 
 // Observation is the load that a backend server stated in an answer.
--- a/server/balance/balance_test.go
+++ b/server/balance/balance_test.go
@@ -12,7 +12,7 @@
 var start = time.Date(2026, 3, 2, 9, 0, 0, 0, time.UTC)
 
 func named(id string, change func(*balance.Candidate)) balance.Candidate {
-	c := balance.Candidate{ID: id, Zone: "a", Slowness: 1}
+	c := balance.Candidate{ID: id, Zone: "a", Hash: balance.Hash(id), Slowness: 1}
 	if change != nil {
 		change(&c)
 	}
--- a/server/balance/tracker.go
+++ b/server/balance/tracker.go
@@ -55,6 +55,7 @@
 	ownSeen, ownWaiting int
 	// waiting is the number of requests that have no first byte yet.
 	waiting  int
+	hash     uint64
 	failures int
 	doubted  time.Time
 	latency  float64 // milliseconds, running mean
@@ -76,7 +77,7 @@
 		if len(t.servers) >= maxServers {
 			t.dropOldest()
 		}
-		s = &server{parts: map[string]time.Time{}}
+		s = &server{parts: map[string]time.Time{}, hash: Hash(id)}
 		t.servers[id] = s
 	}
 	s.used = now
@@ -99,12 +100,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	out := make([]Candidate, 0, len(rows))
-	mean := t.meanLatency(now, rows)
+	mean, keys := t.meanLatency(now, rows), partKeys(r)
 	for _, row := range rows {
 		s := t.get(row.ID, now)
 		c := Candidate{
-			ID: row.ID, Zone: row.Zone, Load: s.load(now, row.Slots), Queue: s.queue(now, t.meanWork), Slowness: 1,
-			CachedTokens: s.cached(now, r), Gap: s.recentGap(now),
+			ID: row.ID, Zone: row.Zone, Hash: s.hash, Load: s.load(now, row.Slots), Queue: s.queue(now, t.meanWork), Slowness: 1,
+			CachedTokens: s.cached(now, r, keys), Gap: s.recentGap(now),
 		}
 		if row.ColdFor > 0 && cold > 0 {
 			c.Cold, c.ColdReady = true, s.cold.ready(now, cold)
@@ -163,10 +164,10 @@
 }
 
 // cached returns the number of tokens at the beginning of the prompt that this server has read lately.
-func (s *server) cached(now time.Time, r *Request) int {
+func (s *server) cached(now time.Time, r *Request, keys []string) int {
 	tokens := 0
-	for _, p := range r.Parts {
-		at, ok := s.parts[r.Model+"/"+p.ID]
+	for i, p := range r.Parts {
+		at, ok := s.parts[keys[i]]
 		if !ok || now.Sub(at) > partLife {
 			break
 		}
@@ -182,14 +183,15 @@
 	defer t.mu.Unlock()
 	s := t.get(id, now)
 	s.running++
-	work := float64(r.PromptTokens-s.cached(now, r)) * r.Pace
+	keys := partKeys(r)
+	work := float64(r.PromptTokens-s.cached(now, r, keys)) * r.Pace
 	s.queued += work
 	s.waiting++
 	t.meanWork += latencyWeight * (work - t.meanWork)
 	if cold > 0 {
 		s.cold.take(now, cold)
 	}
-	s.remember(now, r)
+	s.remember(now, keys)
 	var first, last sync.Once
 	begun = func() {
 		first.Do(func() {
@@ -210,19 +212,28 @@
 	return begun, done
 }
 
-func (s *server) remember(now time.Time, r *Request) {
-	if len(s.parts)+len(r.Parts) > maxParts {
+// partKeys names the parts of a prompt as an engine caches them, which is for one model.
+func partKeys(r *Request) []string {
+	keys := make([]string, len(r.Parts))
+	for i, p := range r.Parts {
+		keys[i] = r.Model + "/" + p.ID
+	}
+	return keys
+}
+
+func (s *server) remember(now time.Time, keys []string) {
+	if len(s.parts)+len(keys) > maxParts {
 		for id, at := range s.parts {
 			if now.Sub(at) > partLife/2 {
 				delete(s.parts, id)
 			}
 		}
-		if len(s.parts)+len(r.Parts) > maxParts {
+		if len(s.parts)+len(keys) > maxParts {
 			clear(s.parts)
 		}
 	}
-	for _, p := range r.Parts {
-		s.parts[r.Model+"/"+p.ID] = now
+	for _, key := range keys {
+		s.parts[key] = now
 	}
 }
 
--- a/server/daemon/listen.go
+++ b/server/daemon/listen.go
@@ -40,6 +40,9 @@
 	return d.serve(d.Settings.MetricsListen, d.metricsHandler())
 }
 
+// idleTimeout closes connections that callers have left unused; callers of the users' platform reuse one for 12 s at most.
+const idleTimeout = time.Minute
+
 // serve runs a handler on an address; an empty address runs none.
 func (d *daemon) serve(address string, handler http.Handler) error {
 	if address == "" {
@@ -49,7 +52,7 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 	d.servers = append(d.servers, server)
 	d.task(func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
