Let some instances only send to a cold backend server

Cause: each instance may send one request at once, so 82 of them (the grown site) would send 82 in a second to a server that bears 20. Found by the test that counts each second over all instances; it covers 82 and 410 now.

--- a/server/balance/balance.go
+++ b/server/balance/balance.go
@@ -46,6 +46,8 @@
 	Gap time.Duration
 	// Cold is true while it bears only a low rate; ColdReady says that this instance may send it one request now.
 	Cold, ColdReady bool
+	// ColdRate is the rate of requests a second that this instance may send while it is cold.
+	ColdRate float64
 	// Doubt lowers a candidate after failures or silence: 0 none, 1 avoided while there is another.
 	Doubt float64
 	// Slowness is the factor by which its answers take longer than those of its pool, at least 1.
--- a/server/balance/balance_test.go
+++ b/server/balance/balance_test.go
@@ -123,17 +123,21 @@
 		instances int
 		perSecond float64
 		bears     int // what a server bears in one second beyond which it falls over
-	}{{6, 10, 20}, {9, 16, 29}, {1, 10, 20}} {
+	}{{6, 10, 20}, {9, 16, 29}, {1, 10, 20}, {82, 10, 20}, {410, 16, 29}} {
 		var sent []time.Duration
 		rng := rand.New(rand.NewPCG(1, uint64(c.instances)))
-		row := []balance.Row{{ID: "cold", Zone: "a", Slots: 64, ColdFor: 10 * time.Second}}
 		request := &balance.Request{Zone: "a"}
-		for range c.instances {
+		var fleet []string
+		for i := range c.instances {
+			fleet = append(fleet, fmt.Sprint("entry-", i))
+		}
+		for _, self := range fleet {
 			tracker := balance.NewTracker()
-			rate := balance.ColdRate(c.perSecond, c.instances)
+			rate := balance.ColdRate(c.perSecond, fleet, self, "cold")
+			row := []balance.Row{{ID: "cold", Zone: "a", Slots: 64, ColdFor: 10 * time.Second, ColdRate: rate}}
 			for at := time.Duration(rng.Int64N(int64(20 * time.Millisecond))); at < 5*time.Second; at += 20 * time.Millisecond {
 				now := start.Add(at)
-				if balance.Choose(tracker.Candidates(now, row, request, rate), request, "r") >= 0 {
+				if balance.Choose(tracker.Candidates(now, row, request), request, "r") >= 0 {
 					_, done := tracker.Sent(now, "cold", request, rate)
 					done()
 					sent = append(sent, at)
@@ -159,11 +163,21 @@
 	}
 }
 
+// Guards against instances that each take themselves for the only one right after a restart of the control group.
+func TestNobodySendsToColdServersBeforeTheListOfInstancesIsThere(t *testing.T) {
+	if rate := balance.ColdRate(10, nil, "e1", "cold"); rate != 0 {
+		t.Errorf("rate %g without a list", rate)
+	}
+	if rate := balance.ColdRate(10, []string{"e2"}, "e1", "cold"); rate != 0 {
+		t.Errorf("rate %g for an instance that the list lacks", rate)
+	}
+}
+
 // Guards against a backend server that is avoided for ever after a failure.
 func TestDoubtEnds(t *testing.T) {
 	tracker := balance.NewTracker()
 	rows, request := []balance.Row{{ID: "s", Zone: "a", Slots: 8}}, &balance.Request{Zone: "a"}
-	doubt := func(at time.Duration) float64 { return tracker.Candidates(start.Add(at), rows, request, 0)[0].Doubt }
+	doubt := func(at time.Duration) float64 { return tracker.Candidates(start.Add(at), rows, request)[0].Doubt }
 	for range 20 {
 		tracker.Failed(start, "s")
 	}
@@ -180,14 +194,14 @@
 	tracker := balance.NewTracker()
 	rows, request := []balance.Row{{ID: "s", Zone: "a", Slots: 8}}, &balance.Request{PromptTokens: 1000, Pace: 1, Zone: "a"}
 	begun, done := tracker.Sent(start, "s", request, 0)
-	if c := tracker.Candidates(start, rows, request, 0)[0]; c.Load != 1.0/8 || c.Queue != 1000 {
+	if c := tracker.Candidates(start, rows, request)[0]; c.Load != 1.0/8 || c.Queue != 1000 {
 		t.Errorf("load %g and queue %g while a request waits", c.Load, c.Queue)
 	}
 	begun()
 	begun()
 	done()
 	done()
-	if c := tracker.Candidates(start, rows, request, 0)[0]; c.Load != 0 || c.Queue != 0 {
+	if c := tracker.Candidates(start, rows, request)[0]; c.Load != 0 || c.Queue != 0 {
 		t.Errorf("load %g and queue %g after the end", c.Load, c.Queue)
 	}
 }
@@ -202,6 +216,6 @@
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		balance.Choose(tracker.Candidates(start, rows, request, 0), request, "r")
+		balance.Choose(tracker.Candidates(start, rows, request), request, "r")
 	}
 }
--- a/server/balance/tracker.go
+++ b/server/balance/tracker.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -34,8 +35,10 @@
 	Slots    int
 	// Heard is how long ago the last announcement was sent on.
 	Heard time.Duration
-	// ColdFor is how long it stays cold, 0 when it is warm.
+	// ColdFor is how long it stays cold, 0 when it is warm or when its service has no bound for cold ones.
 	ColdFor time.Duration
+	// ColdRate is the rate of requests a second that this instance may send while it is cold; 0: none.
+	ColdRate float64
 }
 
 // Tracker keeps what this entry instance learned of backend servers. It is safe for concurrent use.
@@ -94,9 +97,8 @@
 	delete(t.servers, oldest)
 }
 
-// Candidates returns the rows with what is known of each. cold is the rate of requests a second that this instance may send
-// to one cold backend server; 0 when there is no bound.
-func (t *Tracker) Candidates(now time.Time, rows []Row, r *Request, cold float64) []Candidate {
+// Candidates returns the rows with what is known of each.
+func (t *Tracker) Candidates(now time.Time, rows []Row, r *Request) []Candidate {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	out := make([]Candidate, 0, len(rows))
@@ -107,8 +109,8 @@
 			ID: row.ID, Zone: row.Zone, Hash: s.hash, Load: s.load(now, row.Slots), Queue: s.queue(now, t.meanWork), Slowness: 1,
 			CachedTokens: s.cached(now, r, keys), Gap: s.recentGap(now),
 		}
-		if row.ColdFor > 0 && cold > 0 {
-			c.Cold, c.ColdReady = true, s.cold.ready(now, cold)
+		if row.ColdFor > 0 {
+			c.Cold, c.ColdReady, c.ColdRate = true, row.ColdRate > 0 && s.cold.ready(now), row.ColdRate
 		}
 		if now.Before(s.doubted) || row.Heard > silentAfter {
 			c.Doubt = 1
@@ -301,18 +303,37 @@
 // bucket allows a rate with a burst of one request.
 type bucket struct{ next time.Time }
 
-func (b *bucket) ready(now time.Time, _ float64) bool { return !now.Before(b.next) }
+func (b *bucket) ready(now time.Time) bool { return !now.Before(b.next) }
 
 func (b *bucket) take(now time.Time, rate float64) {
 	b.next = now.Add(time.Duration(float64(time.Second) / rate))
 }
 
-// ColdRate returns the rate at which one of n entry instances may send to a cold backend server that bears perSecond
-// requests a second over all of them. Each instance may send one request at once, so n of them can meet in one second
-// beside the rate; overshoot and slack are what the server bears beyond its rate in any one second.
-func ColdRate(perSecond float64, n int) float64 {
-	return coldShare * perSecond / float64(max(n, 1))
+// ColdRate returns the rate at which this entry instance may send to a cold backend server that bears perSecond requests a
+// second over all of them; 0 when others do. Each instance that may send can send one request at once beside its rate, so
+// that only some of a large fleet may: all instances agree on them by a rendezvous hash.
+func ColdRate(perSecond float64, instances []string, self, server string) float64 {
+	if !slices.Contains(instances, self) {
+		// The list is not whole yet, so that nobody knows how many may send.
+		return 0
+	}
+	senders := min(max(int(perSecond*coldBurst), 1), len(instances))
+	own, before, seed := mix(Hash(server)^Hash(self)), 0, Hash(server)
+	for _, other := range instances {
+		if other != self && mix(seed^Hash(other)) > own {
+			before++
+		}
+	}
+	if before >= senders {
+		return 0
+	}
+	return coldShare * perSecond / float64(senders)
 }
 
-// coldShare leaves room for the one request that each instance may send at once.
-const coldShare = 0.8
+const (
+	// coldShare is the part of the cold rate that is used steadily.
+	coldShare = 0.8
+	// coldBurst is the part of the cold rate that may come at once, one request from each sender: together with coldShare it
+	// stays under one and a half times the rate, what cold servers bear for a second.
+	coldBurst = 0.6
+)
--- a/server/entry/routed_place.go
+++ b/server/entry/routed_place.go
@@ -38,11 +38,8 @@
 	if len(rows) == 0 {
 		return nil, problem.New(problem.NoBackendServer, "no backend server takes work for "+call.service).After(time.Second)
 	}
-	cold := 0.0
-	if pool.ColdPerSecond > 0 {
-		cold = balance.ColdRate(pool.ColdPerSecond, len(snap.Fleet.Members))
-	}
-	candidates := h.balance.Candidates(snap.Now, rows, size, cold)
+	h.limitCold(snap, rows, pool.ColdPerSecond)
+	candidates := h.balance.Candidates(snap.Now, rows, size)
 	best := balance.Choose(candidates, size, rq.id)
 	if best < 0 {
 		return nil, problem.New(problem.Overloaded, "each backend server of "+call.service+" is cold").After(time.Second)
@@ -52,11 +49,28 @@
 	if candidates[best].Load >= maxRoutedLoad {
 		return nil, problem.New(problem.Overloaded, "each backend server of "+call.service+" is full").After(time.Second)
 	}
-	if !candidates[best].Cold {
-		cold = 0
-	}
 	h.logPlacement(rq, server, &candidates[best], len(candidates), snap)
-	return h.holdPlace(rq, server, size, cold), nil
+	return h.holdPlace(rq, server, size, candidates[best].ColdRate), nil
+}
+
+// limitCold sets the rate at which this instance may send to each row that is cold.
+func (h *Handler) limitCold(snap *routing.Snapshot, rows []balance.Row, perSecond float64) {
+	var instances []string
+	for i := range rows {
+		row := &rows[i]
+		if perSecond <= 0 {
+			row.ColdFor = 0
+		}
+		if row.ColdFor == 0 {
+			continue
+		}
+		if instances == nil {
+			for _, m := range snap.Fleet.Members {
+				instances = append(instances, m.Instance)
+			}
+		}
+		row.ColdRate = balance.ColdRate(perSecond, instances, h.cfg.Instance, row.ID)
+	}
 }
 
 // maxRoutedLoad is the load from which on a request waits in this instance instead of at a backend server.
@@ -192,7 +206,7 @@
 	larger.routed = &call
 	size := larger.size(snap.View.Catalogue.PoolOf(call.service).Engine)
 	rows, _ := routableRows(snap, &larger, h.boundVersion(rq, snap.Now))
-	return balance.Pressure(h.balance.Candidates(snap.Now, rows, size, 0), size)
+	return balance.Pressure(h.balance.Candidates(snap.Now, rows, size), size)
 }
 
 // routedBudget returns the retry budget of a service.
