--- a/server/balance/balance.go
+++ b/server/balance/balance.go
@@ -19,8 +19,8 @@
 
 // Request is what a choice depends on.
 type Request struct {
-	// PromptTokens and OutputTokens are the size of a generation; 0 for plain services.
-	PromptTokens, OutputTokens int
+	// PromptTokens is the size of the prompt of a generation; 0 for plain services.
+	PromptTokens int
 	// Model is the model that the engine runs; parts are shared within a model only.
 	Model string
 	// ModelRank is the position of the model among those of the pool, the smallest first, and Models their number; 0 when
@@ -65,8 +65,8 @@
 	gapScale = time.Second
 	// groupCost keeps requests on the backend servers of their model's group until those have this much more load.
 	groupCost = 0.5
-	// smallGroupPercent is the part of a pool, in percent, that runs the smallest model. Every request runs there first, at a tenth of the
-	// time of the largest model.
+	// smallGroupPercent is the part of a pool, in percent, that runs the smallest model. Every request runs there first, at a
+	// tenth of the time of the largest model.
 	smallGroupPercent = 22
 	// otherZoneCost is the score of the way to another availability zone, in units of load: the way costs a few ms and
 	// bytes between zones are charged, so it is worth a small imbalance only.
--- a/server/balance/tracker.go
+++ b/server/balance/tracker.go
@@ -290,16 +290,6 @@
 	s.failures++
 }
 
-// Forget drops what was read by a backend server that has started again.
-func (t *Tracker) Forget(id string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if s := t.servers[id]; s != nil {
-		clear(s.parts)
-		s.failures, s.answers = 0, 0
-	}
-}
-
 // bucket allows a rate with a burst of one request.
 type bucket struct{ next time.Time }
 
--- a/server/entry/routed_place.go
+++ b/server/entry/routed_place.go
@@ -131,12 +131,8 @@
 func (rq *request) size(engine *catalogue.Engine) *balance.Request {
 	c := rq.routed
 	rank, pace := paceOf(c, engine)
-	output := c.MaxOutputTokens
-	if c.OutputHint > 0 {
-		output = min(c.OutputHint, max(output, c.OutputHint))
-	}
 	return &balance.Request{
-		PromptTokens: c.PromptTokens, OutputTokens: output, Model: c.model, Parts: c.Parts, Zone: rq.zone,
+		PromptTokens: c.PromptTokens, Model: c.model, Parts: c.Parts, Zone: rq.zone,
 		ModelRank: rank, Models: len(c.route.Models), Pace: pace,
 	}
 }
--- a/server/entry/routed_run.go
+++ b/server/entry/routed_run.go
@@ -33,7 +33,11 @@
 func (h *Handler) attemptRouted(ctx context.Context, w http.ResponseWriter, rq *request, placed *placement) *attemptError {
 	defer placed.release()
 	call := rq.routed
-	x, f := h.dispatch(ctx, rq, placed, &outgoing{method: call.method, path: call.target, header: call.header, body: call.body, fresh: call.route.Kind == catalogue.KindOnce})
+	x, f := h.dispatch(ctx, rq, placed, &outgoing{
+		method: call.method, path: call.target, header: call.header, body: call.body,
+		// On a kept connection a reset can't be told from a lost answer.
+		fresh: call.route.Kind == catalogue.KindOnce,
+	})
 	defer x.close()
 	if f != nil {
 		return f
@@ -96,6 +100,18 @@
 // maxTries is the largest number of backend servers that the request may be sent to.
 func (rq *request) maxTries() int { return max(rq.routed.route.MaxAttempts, 1) }
 
+// doubtful reports whether the backend server is to be avoided for a while. The caller's leaving, the route's time limit and an
+// address that another backend server has now say nothing of it.
+func (e *attemptError) doubtful() bool {
+	switch e.kind {
+	case failCancelled, failTimeout:
+		return false
+	case failCrossed:
+		return !e.notRun
+	}
+	return true
+}
+
 // afterRoutedFailure decides whether the request goes to another backend server, and returns the refusal when it does not.
 func (h *Handler) afterRoutedFailure(ctx context.Context, rq *request, server *control.BackendServer, f *attemptError) *problem.Problem {
 	call, now := rq.routed, time.Now()
@@ -105,19 +121,13 @@
 		return nil
 	}
 	h.countRoutedFailure(rq, server, f)
-	if f.kind != failCancelled && f.kind != failTimeout && !f.notRun {
-		h.balance.Failed(now, server.ID)
-	}
-	if f.kind == failBusy || f.kind == failDial {
+	if f.doubtful() {
 		h.balance.Failed(now, server.ID)
 	}
 	if f.refused != nil {
 		call.failure = f.refused
 	}
 	mayRepeat := f.notRun || !f.wrote || call.route.Repeatable()
-	if !mayRepeat {
-		rq.mayHaveRun = true
-	}
 	rq.mayHaveRun = rq.mayHaveRun || f.wrote && !f.notRun
 	if expired := h.expired(ctx, rq); expired != nil {
 		return expired
