End a routed request whose caller does not take the answer

Cause: a write to a caller that does not read fails after 5 s while its connection is open, and a resumable stream was then asked for again at another backend server. The test fails without the change. Found by reading.

--- /dev/null
+++ b/server/entry/routed_internal_test.go
@@ -0,0 +1,32 @@
+package entry
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"clementinetray/api/catalogue"
+	"clementinetray/api/control"
+	"clementinetray/api/problem"
+	"clementinetray/server/balance"
+	"clementinetray/server/blackboard"
+	"clementinetray/server/retry"
+)
+
+// Guards against an answer that is asked for again at another backend server although its caller does not read the first
+// one: the connection is still open then, so that the request's context has not ended.
+func TestNoFurtherAttemptForACallerThatDoesNotRead(t *testing.T) {
+	h := &Handler{
+		cfg: Config{Board: blackboard.New(), RoutedRetryPart: 1, RoutedRetryFree: 10}, outcomes: newOutcomeCounts(),
+		balance: balance.NewTracker(), budgets: map[string]*retry.Budget{},
+	}
+	rq := &request{routed: &routedCall{
+		route: &catalogue.Route{Kind: catalogue.KindStream, Resumable: true, MaxAttempts: 3}, begun: true,
+	}}
+	rq.route.Exclude, rq.route.Deadline = map[string]bool{}, time.Now().Add(time.Minute)
+	f := &attemptError{kind: failCancelled, wrote: true}
+	p := h.afterRoutedFailure(context.Background(), rq, &control.BackendServer{}, f)
+	if p == nil || p.Reason != problem.DeadlineExceeded {
+		t.Fatalf("the request goes on: %v", p)
+	}
+}
--- a/server/entry/routed_run.go
+++ b/server/entry/routed_run.go
@@ -129,6 +129,10 @@
 	}
 	mayRepeat := f.notRun || !f.wrote || call.route.Repeatable()
 	rq.mayHaveRun = rq.mayHaveRun || f.wrote && !f.notRun
+	if f.kind == failCancelled {
+		// The caller left or does not read: nobody waits for another attempt.
+		return problem.New(problem.DeadlineExceeded, "the caller does not take the answer")
+	}
 	if expired := h.expired(ctx, rq); expired != nil {
 		return expired
 	}
