Learn a leader's address also from a call that was overtaken

Cause: net/rpc runs calls in any order. When the second call of a stream reached a replica that had just started before the first one, the first was dropped with the sender's address in it, and a replica without members could never answer: its leader took it for silent for good. The new test fails without the change.

--- a/server/replica/transport.go
+++ b/server/replica/transport.go
@@ -271,6 +271,11 @@
 		// The sender means the data folder that was here before, to which it has another link and stream.
 		return nil
 	}
+	if args.Address != "" {
+		// Also from a call that the next one of its stream has overtaken, and whose messages are dropped for that: a replica
+		// without members could otherwise never answer.
+		s.r.learnAddress(args.From, args.Address)
+	}
 	return s.r.inboundFrom(args.From).take(args, s.r.receive)
 }
 
@@ -330,14 +335,12 @@
 	if err != nil || !complete {
 		return err
 	}
-	return s.r.receive(DeliverArgs{Address: args.Address, From: m.From, To: m.To, Messages: []raft.Message{m}})
+	s.r.learnAddress(m.From, args.Address)
+	return s.r.receive(DeliverArgs{From: m.From, To: m.To, Messages: []raft.Message{m}})
 }
 
 func (r *Replica) receive(args DeliverArgs) error {
 	return r.post(func() {
-		if args.Address != "" {
-			r.learnAddress(args.From, args.Address)
-		}
 		for _, m := range args.Messages {
 			m.From, m.To = args.From, args.To
 			r.step(m)
--- a/server/replica/transport_test.go
+++ b/server/replica/transport_test.go
@@ -88,3 +88,24 @@
 		}
 	}
 }
+
+// Guards against a new replica that never answers its leader: net/rpc runs calls in any order, so the call that carries the
+// leader's address can come after the next one, and is dropped then.
+func TestAddressIsLearnedFromACallThatWasOvertaken(t *testing.T) {
+	r := &Replica{
+		nodeID: "me", inbound: map[raft.NodeID]*inbound{}, addresses: map[raft.NodeID]string{},
+		tasks: make(chan func(), 8), stopping: make(chan struct{}),
+	}
+	s := &service{r}
+	for _, args := range []DeliverArgs{
+		{From: "leader", To: "me", Boot: 1, Stream: 1, Sequence: 2},
+		{From: "leader", To: "me", Boot: 1, Stream: 1, Sequence: 1, Address: "10.0.0.1:1"},
+	} {
+		if err := s.Deliver(args, &Empty{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if address, ok := r.address("leader"); !ok || address != "10.0.0.1:1" {
+		t.Fatalf("the leader's address is %q, known %t", address, ok)
+	}
+}
