Keep to the control replicas that the settings name in full

An entry instance whose settings name every replica also took the addresses that replies bring, so it went round the forwarders of its settings. Ruled out: the age limit of the view (the instance kept confirming it). Learning is now for seeds only.

--- a/server/controlclient/client.go
+++ b/server/controlclient/client.go
@@ -21,9 +21,19 @@
 	Boot     string
 }
 
+// Group says where the control replicas are reached.
+type Group struct {
+	// Addresses are peer addresses of control replicas.
+	Addresses []string
+	// Seeds says that Addresses are only some of the replicas and that the others are learned from replies. Without it the
+	// addresses hold: the way to a replica may lead over a forwarder that the replica itself does not know.
+	Seeds bool
+}
+
 // Client talks to the control group.
 type Client struct {
 	pool     *peer.Pool
+	learns   bool
 	seeds    []string
 	identity Identity
 	clock    *event.Clock
@@ -44,9 +54,11 @@
 	retryPause = 100 * time.Millisecond
 )
 
-// New returns a client for the control replicas at the given peer addresses.
-func New(pool *peer.Pool, replicas []string, identity Identity, clock *event.Clock) *Client {
-	return &Client{pool: pool, seeds: replicas, replicas: replicas, identity: identity, clock: clock}
+// New returns a client for a control group.
+func New(pool *peer.Pool, group Group, identity Identity, clock *event.Clock) *Client {
+	return &Client{
+		pool: pool, learns: group.Seeds, seeds: group.Addresses, replicas: group.Addresses, identity: identity, clock: clock,
+	}
 }
 
 func (c *Client) meta() control.Meta {
@@ -98,7 +110,7 @@
 // learn takes the replicas of a reply in place of those known before. The seeds stay, as the group may forget a replica
 // that is the only one in reach.
 func (c *Client) learn(replicas []string) {
-	if len(replicas) == 0 {
+	if len(replicas) == 0 || !c.learns {
 		return
 	}
 	c.mu.Lock()
--- a/server/controlclient/client_test.go
+++ b/server/controlclient/client_test.go
@@ -62,7 +62,7 @@
 	}
 	pool := peer.NewPool(secret, time.Second)
 	DeferCleanup(pool.Close)
-	return all, controlclient.New(pool, addresses, controlclient.Identity{Instance: "e1", Boot: "1"}, &event.Clock{})
+	return all, controlclient.New(pool, controlclient.Group{Addresses: addresses}, controlclient.Identity{Instance: "e1", Boot: "1"}, &event.Clock{})
 }
 
 func pin(c *controlclient.Client, timeout time.Duration) error {
--- a/server/controlclient/learn_test.go
+++ b/server/controlclient/learn_test.go
@@ -43,7 +43,7 @@
 		other.group = seed.group
 		pool := peer.NewPool(secret, time.Second)
 		DeferCleanup(pool.Close)
-		client := controlclient.New(pool, []string{seed.server.Address()}, controlclient.Identity{Instance: "e1"}, &event.Clock{})
+		client := controlclient.New(pool, controlclient.Group{Addresses: []string{seed.server.Address()}, Seeds: true}, controlclient.Identity{Instance: "e1"}, &event.Clock{})
 		reply, err := client.Sync(context.Background(), &control.SyncRequest{})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(reply.Instance).To(Equal(seed.server.Address()))
@@ -54,8 +54,22 @@
 		Expect(client.Replicas()).To(ConsistOf(seed.group))
 	})
 
+	// Guards against a way around the forwarders that the settings name for each replica.
+	It("keeps to the addresses of the settings when they name all replicas", func() {
+		first, other := start(), start()
+		first.group = []string{first.server.Address(), other.server.Address()}
+		pool := peer.NewPool(secret, time.Second)
+		DeferCleanup(pool.Close)
+		group := controlclient.Group{Addresses: []string{first.server.Address()}}
+		client := controlclient.New(pool, group, controlclient.Identity{Instance: "e1"}, &event.Clock{})
+		_, err := client.Sync(context.Background(), &control.SyncRequest{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(client.Replicas()).To(Equal(group.Addresses))
+	})
+
 	It("takes new seeds beside the replicas that it knows", func() {
-		client := controlclient.New(peer.NewPool(secret, time.Second), []string{"127.0.0.1:1"}, controlclient.Identity{}, &event.Clock{})
+		client := controlclient.New(peer.NewPool(secret, time.Second), controlclient.Group{Addresses: []string{"127.0.0.1:1"}, Seeds: true},
+			controlclient.Identity{}, &event.Clock{})
 		client.SetSeeds([]string{"127.0.0.1:2"})
 		Expect(client.Replicas()).To(ConsistOf("127.0.0.1:1", "127.0.0.1:2"))
 	})
--- a/server/controlsvc/bench_test.go
+++ b/server/controlsvc/bench_test.go
@@ -85,7 +85,7 @@
 // benchmarkCalls measures calls from 64 concurrent callers through net/rpc to a group of three with synced logs.
 func benchmarkCalls(b *testing.B, call func(ctx context.Context, c *controlclient.Client, n int64) error) {
 	g := startGroup(b)
-	client := controlclient.New(g.pool, g.addresses, controlclient.Identity{Instance: "e1", Boot: "b1"}, &event.Clock{})
+	client := controlclient.New(g.pool, controlclient.Group{Addresses: g.addresses}, controlclient.Identity{Instance: "e1", Boot: "b1"}, &event.Clock{})
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
 	defer cancel()
 	if err := call(ctx, client, -1); err != nil {
--- a/server/controlsvc/service_test.go
+++ b/server/controlsvc/service_test.go
@@ -163,7 +163,7 @@
 		leader.table.put(control.BackendServer{Announcement: control.Announcement{ID: "s1"}})
 		Eventually(func() int { return len(follower.table.Snapshot(time.Now()).Servers) }, 2*time.Second).Should(Equal(1))
 
-		client := controlclient.New(pool, []string{followerServer.Address(), server.Address()},
+		client := controlclient.New(pool, controlclient.Group{Addresses: []string{followerServer.Address(), server.Address()}},
 			controlclient.Identity{Instance: "e1", Boot: "b1"}, leader.Clock)
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
--- a/server/daemon/container.go
+++ b/server/daemon/container.go
@@ -127,7 +127,7 @@
 }
 
 func newClient(s *settings.Settings, pool *peer.Pool, identity controlclient.Identity, clock *event.Clock) *controlclient.Client {
-	return controlclient.New(pool, s.ReplicaAddresses(), identity, clock)
+	return controlclient.New(pool, controlclient.Group{Addresses: s.ReplicaAddresses(), Seeds: len(s.SeedHosts) > 0}, identity, clock)
 }
 
 func newMember(s *settings.Settings, identity controlclient.Identity) control.Member {
--- a/standin/measure/fanout_bench_test.go
+++ b/standin/measure/fanout_bench_test.go
@@ -49,7 +49,7 @@
 	first := n % len(replicas)
 	replicas = append(replicas[first:], replicas[:first]...)
 	clock := &event.Clock{}
-	client := controlclient.New(pool, replicas, controlclient.Identity{Instance: id, Boot: "1"}, clock)
+	client := controlclient.New(pool, controlclient.Group{Addresses: replicas}, controlclient.Identity{Instance: id, Boot: "1"}, clock)
 	logger := slog.New(slog.DiscardHandler)
 	board := blackboard.New()
 	sync, err := syncer.New(client, board, fleet.Apply, 6*time.Second, timeline.NewRing(id, clock, 100), logger)
--- a/standin/measure/writes_bench_test.go
+++ b/standin/measure/writes_bench_test.go
@@ -103,7 +103,7 @@
 	for _, i := range s.Instances {
 		replicas = append(replicas, i.Peers)
 	}
-	return controlclient.New(pool, replicas, controlclient.Identity{Instance: fmt.Sprintf("n%d", n), Boot: "1"}, &event.Clock{})
+	return controlclient.New(pool, controlclient.Group{Addresses: replicas}, controlclient.Identity{Instance: fmt.Sprintf("n%d", n), Boot: "1"}, &event.Clock{})
 }
 
 // write records one request per interval until ctx ends and returns the latencies of the bills.
