Reach control replicas sooner after a loss of power; a failed dial is no attempt

The first Sync hung in a dial to a replica without power, because the kernel repeats a lost opening packet only after a second, and replicas were asked one after the other. Ruled out: the election (leader 0.09 s after the third replica was up) and the fleet table (seeded with the leadership). Change: dials repeat their opening packet every 100 ms for half of their time; Sync asks the next replica after 100 ms without a reply and takes the first reply; calls to the leader leave an address when another leader is learned; a reply that comes late is no longer written to memory that is in use again.

--- a/server/controlclient/client.go
+++ b/server/controlclient/client.go
@@ -41,6 +41,8 @@
 	mu     sync.Mutex // guards the fields below
 	sticky int
 	leader string
+	// leaderChanged is closed and replaced when leader becomes another address.
+	leaderChanged chan struct{}
 	// replicas are the seeds and the replicas of the last reply.
 	replicas []string
 }
@@ -50,6 +52,9 @@
 const (
 	// callTimeout bounds one attempt, so that a silently cut replica costs no more than this before the next is asked.
 	callTimeout = time.Second
+	// slowSync is how long one replica may take for a reply before the next is asked too. It is above the round trip between
+	// regions of a continent; after a loss of power some replicas are back earlier than others.
+	slowSync = 100 * time.Millisecond
 	// retryPause is the pause after each replica was asked in vain.
 	retryPause = 100 * time.Millisecond
 )
@@ -58,6 +63,7 @@
 func New(pool *peer.Pool, group Group, identity Identity, clock *event.Clock) *Client {
 	return &Client{
 		pool: pool, learns: group.Seeds, seeds: group.Addresses, replicas: group.Addresses, identity: identity, clock: clock,
+		leaderChanged: make(chan struct{}),
 	}
 }
 
@@ -65,46 +71,77 @@
 	return control.Meta{Stamp: c.clock.Now(), Instance: c.identity.Instance, Boot: c.identity.Boot}
 }
 
-// Sync asks the replica that answered last, then each other one.
+// Sync asks the replica that answered last, and each other one in turn when the one before fails or is slow to answer. The
+// first reply counts.
 func (c *Client) Sync(ctx context.Context, in *control.SyncRequest) (*control.SyncReply, error) {
 	in.Meta = c.meta()
-	var last error
-	for range c.known() {
-		out := &control.SyncReply{}
-		last = c.attempt(ctx, c.current(), "Control.Sync", in, out)
-		if last == nil {
-			c.clock.Observe(out.Stamp)
-			c.setLeader(out.Leader)
-			c.learn(out.Replicas)
-			return out, nil
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type answer struct {
+		address string
+		reply   *control.SyncReply
+		err     error
+	}
+	addresses := c.inOrder()
+	answers := make(chan answer, len(addresses))
+	asked, open := 0, 0
+	askNext := func() {
+		if asked == len(addresses) {
+			return
 		}
-		if ctx.Err() != nil {
-			break
+		address, request := addresses[asked], *in
+		asked, open = asked+1, open+1
+		go func() {
+			out := &control.SyncReply{}
+			answers <- answer{address, out, c.attempt(ctx, address, "Control.Sync", &request, out)}
+		}()
+	}
+	askNext()
+	slow := time.NewTicker(slowSync)
+	defer slow.Stop()
+	var last error
+	for open > 0 && ctx.Err() == nil {
+		select {
+		case <-slow.C:
+			askNext()
+		case a := <-answers:
+			open--
+			if last = a.err; last != nil {
+				askNext()
+				continue
+			}
+			c.clock.Observe(a.reply.Stamp)
+			c.setLeader(a.reply.Leader)
+			c.stick(a.address)
+			c.learn(a.reply.Replicas)
+			return a.reply, nil
+		case <-ctx.Done():
+			last = ctx.Err()
 		}
-		c.SkipReplica()
 	}
 	return nil, control.ErrUnavailable.Wrap(last)
 }
 
-// SkipReplica makes the next Sync ask another replica, for instance because the last reply was not fresh.
-func (c *Client) SkipReplica() {
+// stick makes a replica the first that the next Sync asks.
+func (c *Client) stick(address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.sticky = (c.sticky + 1) % len(c.replicas)
+	c.sticky = max(slices.Index(c.replicas, address), 0)
 }
 
-// known returns how many replicas are known.
-func (c *Client) known() int {
+// inOrder returns the replicas, the one that the next Sync asks first.
+func (c *Client) inOrder() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.replicas)
+	at := c.sticky % len(c.replicas)
+	return append(slices.Clone(c.replicas[at:]), c.replicas[:at]...)
 }
 
-// current returns the replica that the next Sync asks.
-func (c *Client) current() string {
+// SkipReplica makes the next Sync ask another replica, for instance because the last reply was not fresh.
+func (c *Client) SkipReplica() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.replicas[c.sticky%len(c.replicas)]
+	c.sticky = (c.sticky + 1) % len(c.replicas)
 }
 
 // learn takes the replicas of a reply in place of those known before. The seeds stay, as the group may forget a replica
@@ -148,9 +185,33 @@
 func (c *Client) setLeader(address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if address != "" {
-		c.leader = address
+	if address == "" || address == c.leader {
+		return
+	}
+	c.leader = address
+	close(c.leaderChanged)
+	c.leaderChanged = make(chan struct{})
+}
+
+// attemptLeader makes one call to what may be the leader. It gives up when another leader is learned, as the address may
+// belong to a machine that is gone.
+func (c *Client) attemptLeader(ctx context.Context, address, method string, in, out any) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	c.mu.Lock()
+	changed := c.leaderChanged
+	if c.leader != "" && c.leader != address {
+		changed = nil // The caller chose the address although a leader is known.
 	}
+	c.mu.Unlock()
+	go func() {
+		select {
+		case <-changed:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return c.attempt(ctx, address, method, in, out)
 }
 
 func (c *Client) attempt(ctx context.Context, address, method string, in, out any) error {
@@ -169,7 +230,7 @@
 		if address == "" || turn > 0 {
 			address = c.candidate(turn)
 		}
-		last = c.attempt(ctx, address, method, in, out)
+		last = c.attemptLeader(ctx, address, method, in, out)
 		if last == nil {
 			c.setLeader(address)
 			return nil
@@ -177,6 +238,10 @@
 		if err := asTyped(last); err != nil {
 			return err
 		}
+		if errors.Is(last, context.Canceled) && ctx.Err() == nil {
+			turn = -1 // Another leader was learned meanwhile.
+			continue
+		}
 		c.forgetLeader(address)
 		if hint := leaderHint(last); hint != "" {
 			c.setLeader(hint)
--- a/server/controlclient/client_test.go
+++ b/server/controlclient/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -26,9 +27,19 @@
 type Replica struct {
 	server *peer.Server
 	calls  atomic.Int64
+	leads  atomic.Bool
 	answer atomic.Pointer[func() error]
 }
 
+// silent returns an address that takes connections and never answers.
+func silent() string {
+	GinkgoHelper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(l.Close)
+	return l.Addr().String()
+}
+
 // PinSession answers as the test says.
 func (r *Replica) PinSession(_ *control.PinRequest, _ *control.PinReply) error {
 	r.calls.Add(1)
@@ -39,6 +50,9 @@
 func (r *Replica) Sync(_ *control.SyncRequest, out *control.SyncReply) error {
 	r.calls.Add(1)
 	out.Instance = r.server.Address()
+	if r.leads.Load() {
+		out.Leader = out.Instance
+	}
 	return nil
 }
 
@@ -107,6 +121,42 @@
 		Expect(all[0].calls.Load()).To(BeEquivalentTo(1))
 	})
 
+	It("turns to a leader that it learns of while it waits for a silent one (guards against announcements that fail after a change of leaders)", func() {
+		all, _ := replicas(1)
+		leader := all[0]
+		leader.answers(func() error { return nil })
+		leader.leads.Store(true)
+		pool := peer.NewPool(secret, time.Second)
+		DeferCleanup(pool.Close)
+		group := controlclient.Group{Addresses: []string{silent(), leader.server.Address()}}
+		c := controlclient.New(pool, group, controlclient.Identity{Instance: "e1", Boot: "1"}, &event.Clock{})
+		ended := make(chan error, 1)
+		started := time.Now()
+		go func() { ended <- pin(c, 3*time.Second) }()
+		time.Sleep(50 * time.Millisecond)
+		_, err := c.Sync(context.Background(), &control.SyncRequest{})
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(ended).WithTimeout(3 * time.Second).Should(Receive(BeNil()))
+		Expect(time.Since(started)).To(BeNumerically("<", 500*time.Millisecond))
+	})
+
+	It("does not wait for a silent replica while another one answers (guards against instances that serve a second later than they could after a loss of power)", func() {
+		all, _ := replicas(1)
+		pool := peer.NewPool(secret, time.Second)
+		DeferCleanup(pool.Close)
+		group := controlclient.Group{Addresses: []string{silent(), silent(), all[0].server.Address()}}
+		c := controlclient.New(pool, group, controlclient.Identity{Instance: "e1", Boot: "1"}, &event.Clock{})
+		started := time.Now()
+		reply, err := c.Sync(context.Background(), &control.SyncRequest{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reply.Instance).To(Equal(all[0].server.Address()))
+		Expect(time.Since(started)).To(BeNumerically("<", 500*time.Millisecond))
+		started = time.Now()
+		_, err = c.Sync(context.Background(), &control.SyncRequest{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(time.Since(started)).To(BeNumerically("<", 100*time.Millisecond), "it stays with the one that answered")
+	})
+
 	It("syncs with the next replica when one is gone or skipped (guards against a view that ages beside living replicas)", func() {
 		all, c := replicas(3)
 		first, err := c.Sync(context.Background(), &control.SyncRequest{})
--- a/server/entry/conn.go
+++ b/server/entry/conn.go
@@ -109,8 +109,8 @@
 }
 
 const (
-	// dialTimeout covers one lost packet of the handshake, which is sent again after a second.
-	dialTimeout = 1200 * time.Millisecond
+	// dialTimeout leaves room for two lost opening packets, and for another backend server within the time that callers want.
+	dialTimeout = 700 * time.Millisecond
 	// idleTimeout is short because an idle connection that its server closes costs an attempt.
 	idleTimeout    = 15 * time.Second
 	maxIdlePerHost = 64
@@ -123,12 +123,12 @@
 // newTransport returns a transport to backend servers. fresh makes it use each connection once, which non-idempotent calls
 // need: a reset of a kept connection can't be told from a lost answer.
 func newTransport(fresh bool) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout, Control: peer.LimitSilence, KeepAliveConfig: net.KeepAliveConfig{
+	dialer := net.Dialer{Control: peer.LimitSilence, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAlivePeriod, Count: keepAliveCount,
 	}}
 	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			conn, err := peer.Dial(ctx, dialer, address, dialTimeout)
 			if err != nil {
 				return nil, err
 			}
--- a/server/entry/dispatch.go
+++ b/server/entry/dispatch.go
@@ -101,7 +101,7 @@
 	x.ctx, x.cancel = context.WithCancelCause(ctx)
 	x.running = runningAttempt{server: placed.server.ID, boot: placed.server.Boot, cancel: x.cancel}
 	h.running.add(&x.running)
-	if rq.tries == 1 {
+	if rq.tries == 1 && (rq.routed == nil || rq.attempts == 1) {
 		h.budgetOf(rq).Request(x.began)
 	}
 	r, err := x.newRequest(out)
--- a/server/entry/routed_run.go
+++ b/server/entry/routed_run.go
@@ -136,6 +136,11 @@
 		return expired
 	}
 	rq.route.Exclude[server.ID] = true
+	if f.kind == failDial && !f.wrote {
+		// The backend server was not reached, so that this was no attempt. Each one is tried once.
+		rq.tries--
+		return nil
+	}
 	if f.kind == failBusy {
 		rq.busy = append(rq.busy, server.ID)
 	}
--- a/server/entry/routed_test.go
+++ b/server/entry/routed_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"clementinetray/api/catalogue"
+	"clementinetray/api/control"
 	"clementinetray/api/problem"
 	"clementinetray/server/entry"
 )
@@ -133,6 +134,22 @@
 		Entry("silence ends at the route's time limit", catalogue.Route{Kind: catalogue.KindOnce, TimeLimitMillis: 300}, hang, http.StatusGatewayTimeout, false, 1),
 	)
 
+	// Guards against requests that fail because the first backend servers are gone, though nothing reached them and another one
+	// is well.
+	It("does not count a backend server that it can't connect to as an attempt", func() {
+		s := newSite(func(c *entry.Config) { c.RoutedRetryPart, c.RoutedRetryFree = 0, 0 })
+		s.route(catalogue.Route{Kind: catalogue.KindOnce, MaxAttempts: 1})
+		well := row(newBackend("b1", echo(http.StatusOK, "well")))
+		rows := []*control.BackendServer{deadRow("d1"), deadRow("d2"), deadRow("d3"), well}
+		for _, r := range rows {
+			r.SoftwareVersion, r.StatesCold, r.Service = "v1", true, "orders"
+		}
+		s.serve(catalogue.VersionRef{}, rows...)
+		for range 5 {
+			Expect(send(s.request("POST", "/r/x", "body")).status).To(Equal(http.StatusOK))
+		}
+	})
+
 	// Guards against limits of the catalogue that are kept but not enforced, and against the settings' larger or smaller ones
 	// in their place.
 	DescribeTable("the catalogue's limits of size",
--- a/server/peer/pool.go
+++ b/server/peer/pool.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"time"
 )
@@ -31,7 +32,10 @@
 	if err != nil {
 		return err
 	}
-	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	// A reply that comes after the end of the wait must not be written to what the caller may use again.
+	target := reflect.ValueOf(reply).Elem()
+	own := reflect.New(target.Type())
+	call := client.Go(method, args, own.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-ctx.Done():
 		if !errors.Is(ctx.Err(), context.Canceled) {
@@ -44,6 +48,9 @@
 	if call.Error != nil && !errors.As(call.Error, &remote) {
 		p.drop(address, client)
 	}
+	if call.Error == nil {
+		target.Set(own.Elem())
+	}
 	return Error.Wrap(call.Error)
 }
 
@@ -54,12 +61,16 @@
 	if client != nil {
 		return client, nil
 	}
-	dialer := net.Dialer{Timeout: p.dialTimeout, Control: LimitSilence}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := Dial(ctx, net.Dialer{Control: LimitSilence}, address, p.dialTimeout)
 	if err != nil {
-		return nil, Error.Wrap(err)
+		return nil, err
 	}
-	if err := prove(conn, p.secret, 'c'); err != nil {
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	err = prove(conn, p.secret, 'c')
+	if !stop() {
+		return nil, Error.Wrap(ctx.Err())
+	}
+	if err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
--- a/server/syncer/syncer.go
+++ b/server/syncer/syncer.go
@@ -130,6 +130,9 @@
 	if confirmed.Before(held.ConfirmedAt) && asleep-held.Asleep < clock.Suspended {
 		confirmed = held.ConfirmedAt
 	}
+	if held.View == nil {
+		s.logger.Info("view_received", "replica", reply.Instance, "revision", reply.Revision, "fresh", reply.FreshAge <= s.maxViewAge, "took", time.Since(sent))
+	}
 	next := merge(held.View, reply.View)
 	if next != nil && next.Revision != revisionOf(held) {
 		s.recorder.Record(event.Event{Kind: "view_in_force", Revision: next.Revision})
