--- a/server/balance/balance_test.go
+++ b/server/balance/balance_test.go
@@ -219,3 +219,51 @@
 		balance.Choose(tracker.Candidates(start, rows, request), request, "r")
 	}
 }
+
+// Guards against requests that wait behind the long prompt of another entry instance, which the backend server's stated load
+// shows only after it was read.
+func TestWorkOfOtherInstances(t *testing.T) {
+	type told struct {
+		server uint64
+		tokens float64
+	}
+	var said []told
+	other, own := balance.NewTracker(), balance.NewTracker()
+	other.TellWith(func(server uint64, tokens float64) { said = append(said, told{server, tokens}) })
+	rows := []balance.Row{{ID: "x", Zone: "a", Slots: 64}, {ID: "y", Zone: "a", Slots: 64}}
+	small := &balance.Request{PromptTokens: 500, Pace: 1, Zone: "a"}
+	chosen := func(now time.Time) map[string]int {
+		counts := map[string]int{}
+		candidates := own.Candidates(now, rows, small)
+		for n := range 100 {
+			counts[candidates[balance.Choose(candidates, small, fmt.Sprint(n))].ID]++
+		}
+		return counts
+	}
+	if got := chosen(start); got["x"] == 0 || got["y"] == 0 {
+		t.Fatalf("without work both should be chosen, got %v", got)
+	}
+	begun, _ := other.Sent(start, "x", &balance.Request{PromptTokens: 50_000, Pace: 1, Zone: "a"}, 0)
+	other.Sent(start, "y", small, 0)
+	if len(said) != 1 || said[0] != (told{balance.Hash("x"), 50_000}) {
+		t.Fatalf("a long prompt and no short one should be told, got %v", said)
+	}
+	own.Hear(start, 1, 1, said[0].server, said[0].tokens)
+	if got := chosen(start); got["x"] != 0 {
+		t.Errorf("chose the engine that reads a long prompt: %v", got)
+	}
+	begun()
+	if len(said) != 2 || said[1].tokens != 0 {
+		t.Fatalf("the end of the reading should be told, got %v", said)
+	}
+	own.Hear(start, 1, 2, said[1].server, said[1].tokens)
+	own.Hear(start, 1, 1, said[0].server, said[0].tokens) // Overtaken on its way.
+	if got := chosen(start); got["x"] == 0 {
+		t.Errorf("still avoids the engine that has read the prompt: %v", got)
+	}
+	own.Hear(start, 2, 1, said[0].server, said[0].tokens)
+	if got := chosen(start.Add(time.Minute)); got["x"] == 0 {
+		t.Errorf("avoids an engine for a hint whose end was lost: %v", got)
+	}
+	own.Hear(start, 3, 1, balance.Hash("unknown"), 50_000)
+}
--- a/server/balance/tracker.go
+++ b/server/balance/tracker.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -45,6 +46,9 @@
 type Tracker struct {
 	mu      sync.Mutex // guards the fields below
 	servers map[string]*server
+	byHash  map[uint64]*server
+	// tell passes on how much unread work this instance has at a backend server; nil: nobody is told.
+	tell func(server uint64, tokens float64)
 	// meanWork is the running mean of the work of a request, in tokens of the slowest model.
 	meanWork float64
 }
@@ -53,6 +57,10 @@
 	running int
 	// queued is the work of requests that were sent here and have no first byte yet, in tokens of the slowest model.
 	queued float64
+	// told is what others were told of queued.
+	told float64
+	// remote is what other entry instances told of their work here, by sender.
+	remote map[uint64]remoteWork
 	seen   Observation
 	// ownSeen and ownWaiting are running and waiting at the time of seen.
 	ownSeen, ownWaiting int
@@ -71,8 +79,74 @@
 	used    time.Time
 }
 
+// remoteWork is unread work of another entry instance.
+type remoteWork struct {
+	sequence uint64
+	tokens   float64
+	at       time.Time
+}
+
+const (
+	// heavyWork is the change of unread work, in tokens of the slowest model, that other entry instances are told of: an engine
+	// reads it in about 0.2 s, during which other requests there wait.
+	heavyWork = 8_000
+	// remoteLife is how long a hint holds that no later one replaces. Engines read the longest prompts in 2 to 5 s.
+	remoteLife = 5 * time.Second
+	// maxRemote bounds the senders that are remembered of one backend server.
+	maxRemote = 64
+)
+
 // NewTracker returns an empty tracker.
-func NewTracker() *Tracker { return &Tracker{servers: map[string]*server{}} }
+func NewTracker() *Tracker {
+	return &Tracker{servers: map[string]*server{}, byHash: map[uint64]*server{}}
+}
+
+// TellWith makes the tracker pass on changes of the unread work that this instance has at a backend server, which is named
+// by its Hash. tell must not block.
+func (t *Tracker) TellWith(tell func(server uint64, tokens float64)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.tell = tell
+}
+
+// tellLocked tells others when the unread work changed much. t.mu is held.
+func (t *Tracker) tellLocked(s *server) {
+	if t.tell != nil && math.Abs(s.queued-s.told) >= heavyWork {
+		s.told = s.queued
+		t.tell(s.hash, s.queued)
+	}
+}
+
+// Hear notes what another entry instance told of its unread work at a backend server. The sequence orders what one sender
+// tells.
+func (t *Tracker) Hear(now time.Time, sender, sequence, server uint64, tokens float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.byHash[server]
+	if s == nil || s.remote[sender].sequence > sequence {
+		return
+	}
+	if s.remote == nil {
+		s.remote = map[uint64]remoteWork{}
+	}
+	for id, w := range s.remote {
+		if now.Sub(w.at) > remoteLife || len(s.remote) >= maxRemote {
+			delete(s.remote, id)
+		}
+	}
+	s.remote[sender] = remoteWork{sequence: sequence, tokens: tokens, at: now}
+}
+
+// heard returns the unread work of other entry instances that told of it.
+func (s *server) heard(now time.Time) float64 {
+	sum := 0.0
+	for _, w := range s.remote {
+		if now.Sub(w.at) <= remoteLife {
+			sum += w.tokens
+		}
+	}
+	return sum
+}
 
 func (t *Tracker) get(id string, now time.Time) *server {
 	s := t.servers[id]
@@ -81,7 +155,7 @@
 			t.dropOldest()
 		}
 		s = &server{parts: map[string]time.Time{}, hash: Hash(id)}
-		t.servers[id] = s
+		t.servers[id], t.byHash[s.hash] = s, s
 	}
 	s.used = now
 	return s
@@ -94,6 +168,7 @@
 			oldest = id
 		}
 	}
+	delete(t.byHash, Hash(oldest))
 	delete(t.servers, oldest)
 }
 
@@ -154,15 +229,16 @@
 	return (own + others*weight) / float64(max(slots, 1))
 }
 
-// queue estimates the prompt tokens that wait to be read: those of this instance, and as many requests of others as the
-// backend server stated, fading out.
+// queue estimates the prompt tokens that wait to be read: those of this instance, and those of others as they told or as the
+// requests that the backend server stated, fading out, whichever is more.
 func (s *server) queue(now time.Time, meanWork float64) float64 {
+	heard := s.heard(now)
 	if s.seen.At.IsZero() {
-		return s.queued
+		return s.queued + heard
 	}
 	weight := float64(observationLife) / float64(observationLife+now.Sub(s.seen.At))
 	others := max(float64(s.seen.Waiting-s.ownWaiting), 0)
-	return s.queued + others*weight*meanWork
+	return s.queued + max(others*weight*meanWork, heard)
 }
 
 // cached returns the number of tokens at the beginning of the prompt that this server has read lately.
@@ -194,6 +270,7 @@
 		s.cold.take(now, cold)
 	}
 	s.remember(now, keys)
+	t.tellLocked(s)
 	var first, last sync.Once
 	begun = func() {
 		first.Do(func() {
@@ -201,6 +278,7 @@
 			defer t.mu.Unlock()
 			s.queued -= work
 			s.waiting--
+			t.tellLocked(s)
 		})
 	}
 	done = func() {
--- a/server/daemon/daemon.go
+++ b/server/daemon/daemon.go
@@ -78,6 +78,7 @@
 	Limits   *limitTracker
 	Announce *announce.Handler
 	Member   control.Member
+	Secret   secret
 }
 
 // daemon is one running process.
@@ -138,6 +139,9 @@
 			d.heartbeat.Run(ctx)
 		})
 	}
+	if d.handler != nil {
+		d.shareWork(ctx)
+	}
 	if d.service != nil {
 		d.task(func() { d.fail(d.service.Run(ctx)) })
 		d.task(func() { d.watchReplica(ctx) })
--- a/server/daemon/entry.go
+++ b/server/daemon/entry.go
@@ -21,6 +21,7 @@
 	"clementinetray/server/routing"
 	"clementinetray/server/settings"
 	"clementinetray/server/syncer"
+	"clementinetray/server/workhint"
 )
 
 var entryConstructors = []any{
@@ -67,6 +68,34 @@
 	}
 }
 
+// shareWork exchanges hints of long prompts with the other entry instances. Without the socket, requests are placed by what
+// backend servers state alone.
+func (d *daemon) shareWork(ctx context.Context) {
+	exchange, err := workhint.Listen(workhint.Config{
+		Address: d.Peers.Address(), Boot: d.Member.Boot, Secret: d.Secret, Members: d.memberAddresses,
+		Heard: func(h workhint.Hint) {
+			d.handler.HearWork(h.Sender, h.Sequence, h.Server, float64(h.Tokens))
+		},
+		Log: d.Logger, Registerer: d.Registry,
+	})
+	if err != nil {
+		d.Logger.Warn("work_hints_off", "address", d.Peers.Address(), "error", err)
+		return
+	}
+	d.handler.TellWorkWith(exchange.Tell)
+	d.task(func() { exchange.Run(ctx) })
+}
+
+// memberAddresses returns the peer addresses of all entry instances.
+func (d *daemon) memberAddresses() []string {
+	members := d.Board.Fleet.Load().Members
+	out := make([]string, 0, len(members))
+	for _, m := range members {
+		out = append(out, m.PeerAddress)
+	}
+	return out
+}
+
 func newSyncer(
 	s *settings.Settings, client *controlclient.Client, board *blackboard.Board, recorder event.Recorder, logger *slog.Logger,
 ) (*syncer.Syncer, error) {
