Keep sessions on their version at every instance while a roll-out begins

Cause: requests of one session arrive at any entry instance, and only the instance that had served the session before the roll-out knew that it goes on. Change: a roll-out sends nothing to the new version for the first 8% of its time; meanwhile entry instances tell each other which sessions of the first share go on, and those stay on the old version until the roll-out is settled. A session counts as going on from the end of its last request.

--- a/server/balance/balance.go
+++ b/server/balance/balance.go
@@ -85,8 +85,8 @@
 // lower rank of the salt, so that instances do not all pick the same one.
 func Choose(candidates []Candidate, r *Request, salt string) int {
 	best, bestScore := -1, math.Inf(1)
-	home := homeOf(candidates, r)
 	group := groupOf(candidates, r)
+	home := homeOf(candidates, r, group)
 	seed := Hash(salt)
 	for i := range candidates {
 		c := &candidates[i]
@@ -172,15 +172,19 @@
 	return tieShare * float64(rankFor(seed, c.Hash)>>54) / (1 << 10)
 }
 
-// homeOf returns the candidate with the highest rendezvous rank for the shared parts of the prompt, so that all instances
-// send prompts with the same beginning to the same backend server without talking to each other; -1 without such parts.
-func homeOf(candidates []Candidate, r *Request) int {
+// homeOf returns the candidate of the model's group with the highest rendezvous rank for the shared parts of the prompt, so
+// that all instances send prompts with the same beginning to the same backend server without talking to each other; -1
+// without such parts.
+func homeOf(candidates []Candidate, r *Request, group group) int {
 	key := sharedKey(r.Parts)
 	if key == "" {
 		return -1
 	}
 	home, highest, seed := -1, uint64(0), Hash(r.Model+"/"+key)
 	for i := range candidates {
+		if !group.holds(&candidates[i]) {
+			continue
+		}
 		if rank := rankFor(seed, candidates[i].Hash); home < 0 || rank > highest {
 			home, highest = i, rank
 		}
--- a/server/balance/tracker.go
+++ b/server/balance/tracker.go
@@ -88,8 +88,8 @@
 
 const (
 	// heavyWork is the change of unread work, in tokens of the slowest model, that other entry instances are told of: an engine
-	// reads it in about 0.2 s, during which other requests there wait.
-	heavyWork = 8_000
+	// reads it in about 0.1 s, during which other requests there wait.
+	heavyWork = 4_000
 	// remoteLife is how long a hint holds that no later one replaces. Engines read the longest prompts in 2 to 5 s.
 	remoteLife = 5 * time.Second
 	// maxRemote bounds the senders that are remembered of one backend server.
--- a/server/daemon/daemon.go
+++ b/server/daemon/daemon.go
@@ -140,7 +140,7 @@
 		})
 	}
 	if d.handler != nil {
-		d.shareWork(ctx)
+		d.exchangeHints(ctx)
 	}
 	if d.service != nil {
 		d.task(func() { d.fail(d.service.Run(ctx)) })
--- a/server/daemon/entry.go
+++ b/server/daemon/entry.go
@@ -15,13 +15,13 @@
 	"clementinetray/server/controlclient"
 	"clementinetray/server/entry"
 	"clementinetray/server/fleet"
+	"clementinetray/server/gossip"
 	"clementinetray/server/limits"
 	"clementinetray/server/ratings"
 	"clementinetray/server/retry"
 	"clementinetray/server/routing"
 	"clementinetray/server/settings"
 	"clementinetray/server/syncer"
-	"clementinetray/server/workhint"
 )
 
 var entryConstructors = []any{
@@ -68,21 +68,27 @@
 	}
 }
 
-// shareWork exchanges hints of long prompts with the other entry instances. Without the socket, requests are placed by what
-// backend servers state alone.
-func (d *daemon) shareWork(ctx context.Context) {
-	exchange, err := workhint.Listen(workhint.Config{
+// exchangeHints exchanges hints with the other entry instances. Without the socket, requests are placed by what backend
+// servers state alone, and sessions that change the entry instance may change their software version.
+func (d *daemon) exchangeHints(ctx context.Context) {
+	exchange, err := gossip.Listen(gossip.Config{
 		Address: d.Peers.Address(), Boot: d.Member.Boot, Secret: d.Secret, Members: d.memberAddresses,
-		Heard: func(h workhint.Hint) {
-			d.handler.HearWork(h.Sender, h.Sequence, h.Server, float64(h.Tokens))
+		Heard: func(h gossip.Hint) {
+			if h.Work != nil {
+				d.handler.HearWork(h.Sender, h.Sequence, h.Work.Server, float64(h.Work.Tokens))
+			}
+			if h.Sessions != nil {
+				d.handler.HearSessions(h.Sessions.Rollout, h.Sessions.Hashes)
+			}
 		},
 		Log: d.Logger, Registerer: d.Registry,
 	})
 	if err != nil {
-		d.Logger.Warn("work_hints_off", "address", d.Peers.Address(), "error", err)
+		d.Logger.Warn("hints_off", "address", d.Peers.Address(), "error", err)
 		return
 	}
-	d.handler.TellWorkWith(exchange.Tell)
+	d.handler.TellWorkWith(exchange.TellWork)
+	d.handler.TellSessionsWith(exchange.TellSessions)
 	d.task(func() { exchange.Run(ctx) })
 }
 
--- a/server/entry/handler.go
+++ b/server/entry/handler.go
@@ -38,8 +38,10 @@
 	ratings     *rater
 
 	// balance is what this instance knows of the backend servers of routed requests.
-	balance  *balance.Tracker
-	bound    *boundSessions
+	balance *balance.Tracker
+	bound   *boundSessions
+	// keptOld are the sessions that stay on an old version while a roll-out begins.
+	keptOld  *keptSessions
 	budgetMu sync.Mutex // guards budgets
 	// budgets holds the retry budget of each service.
 	budgets map[string]*retry.Budget
@@ -78,14 +80,14 @@
 		bills: newBiller(&cfg, m), sessions: newSessionCache(cfg.SessionCache),
 		answers: newAnswerStore(cfg.AnswerRetention, cfg.AnswerMemory, m), queue: newWaitQueue(cfg.MaxWaiting, m),
 		outcomes: newOutcomeCounts(), latency: newLatencyWatch(), crashes: newCrashCache(), running: newRunningAttempts(),
-		balance: balance.NewTracker(), bound: newBoundSessions(), budgets: map[string]*retry.Budget{},
+		balance: balance.NewTracker(), bound: newBoundSessions(), keptOld: newKeptSessions(), budgets: map[string]*retry.Budget{},
 		idle: make(chan struct{}), stop: stop,
 	}
 	h.slots = newSlotHolder(&h.cfg)
 	h.finisher = newCallFinisher(&h.cfg)
 	h.ratings = newRater(&h.cfg, m, h.outcomes)
 	h.mux = h.routes()
-	for _, run := range []func(context.Context){h.slots.run, h.finisher.run, h.ratings.run, h.answers.run, h.watchFleet} {
+	for _, run := range []func(context.Context){h.slots.run, h.finisher.run, h.ratings.run, h.answers.run, h.watchFleet, h.shareSessions} {
 		h.stopped.Go(func() { run(ctx) })
 	}
 	return h, nil
--- a/server/entry/routed_place.go
+++ b/server/entry/routed_place.go
@@ -34,7 +34,7 @@
 	pool := snap.View.Catalogue.PoolOf(call.service)
 	rq.chooseModel()
 	size := rq.size(pool.Engine)
-	rows, servers := routableRows(snap, rq, h.boundVersion(rq, snap.Now))
+	rows, servers := routableRows(snap, rq, h.boundVersion(rq, snap))
 	if len(rows) == 0 {
 		return nil, problem.New(problem.NoBackendServer, "no backend server takes work for "+call.service).After(time.Second)
 	}
@@ -211,7 +211,7 @@
 	larger := *rq
 	larger.routed = &call
 	size := larger.size(snap.View.Catalogue.PoolOf(call.service).Engine)
-	rows, _ := routableRows(snap, &larger, h.boundVersion(rq, snap.Now))
+	rows, _ := routableRows(snap, &larger, h.boundVersion(rq, snap))
 	return balance.Pressure(h.balance.Candidates(snap.Now, rows, size), size)
 }
 
--- a/server/entry/routed_run.go
+++ b/server/entry/routed_run.go
@@ -33,6 +33,8 @@
 func (h *Handler) attemptRouted(ctx context.Context, w http.ResponseWriter, rq *request, placed *placement) *attemptError {
 	defer placed.release()
 	call := rq.routed
+	// A session goes on from the end of its last request.
+	defer func() { h.bindVersion(rq, placed.server, time.Now()) }()
 	x, f := h.dispatch(ctx, rq, placed, &outgoing{
 		method: call.method, path: call.target, header: call.header, body: call.body,
 		// On a kept connection a reset can't be told from a lost answer.
--- a/server/entry/routed_session.go
+++ b/server/entry/routed_session.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"clementinetray/api/control"
+	"clementinetray/server/balance"
+	"clementinetray/server/routing"
 )
 
 const (
@@ -52,12 +54,19 @@
 	s.byKey[key] = b
 }
 
-// boundVersion returns the software version that the request's session runs on, empty when it is not known here.
-func (h *Handler) boundVersion(rq *request, now time.Time) string {
+// boundVersion returns the software version that the request's session runs on, empty when it is not known.
+func (h *Handler) boundVersion(rq *request, snap *routing.Snapshot) string {
 	if rq.route.Session == "" {
 		return ""
 	}
-	return h.bound.get(rq.shareKey(), rq.routed.service, now)
+	if version := h.bound.get(rq.shareKey(), rq.routed.service, snap.Now); version != "" || snap.View.Rollouts == nil {
+		return version
+	}
+	r, ok := snap.View.Rollouts.Services[rq.routed.service]
+	if ok && r.State == control.RolloutRunning && h.keptOld.has(rolloutHash(r), balance.Hash(rq.shareKey())) {
+		return oldVersion
+	}
+	return ""
 }
 
 func (h *Handler) bindVersion(rq *request, server *control.BackendServer, now time.Time) {
--- a/server/entry/routed_test.go
+++ b/server/entry/routed_test.go
@@ -16,6 +16,7 @@
 	"clementinetray/api/control"
 	"clementinetray/api/problem"
 	"clementinetray/server/entry"
+	"clementinetray/server/routing"
 )
 
 // routedSite serves one route to the service "orders" on the path /r/.
@@ -242,6 +243,46 @@
 		Eventually(ended, 500*time.Millisecond).Should(BeClosed())
 	})
 
+	// Guards against a session that a beginning roll-out moves to the new version because its next request arrives at another
+	// entry instance, which has not seen it.
+	It("keeps a session on its software version at every instance while a roll-out begins", func() {
+		old, fresh := newBackend("old", echo(http.StatusOK, "old")), newBackend("new", echo(http.StatusOK, "new"))
+		sites := make([]*site, 2)
+		for i := range sites {
+			s := newSite(nil)
+			s.route(idempotent)
+			s.serveAs("v1", old)
+			s.serveAs("v2", fresh)
+			sites[i] = s
+		}
+		sites[0].handler.TellSessionsWith(sites[1].handler.HearSessions)
+		rollOut := func(percent int) {
+			r := control.ServiceRollout{Service: "orders", Order: 1, To: "v2", Seconds: 24, State: control.RolloutRunning, Percent: percent}
+			for _, s := range sites {
+				s.current.Rollouts = &control.Rollouts{Services: map[string]control.ServiceRollout{"orders": r}}
+				s.confirm(time.Now())
+			}
+		}
+		ask := func(s *site, session string) string {
+			return send(s.request("GET", "/r/x", "", entry.HeaderSession, session)).body
+		}
+		var inShare []string
+		for n := 0; len(inShare) < 2; n++ {
+			session := fmt.Sprint("session-", n)
+			if routing.InShare("acme/"+session, "v2", control.UnsettledPercent) {
+				inShare = append(inShare, session)
+			}
+		}
+		goesOn, later := inShare[0], inShare[1]
+		rollOut(0)
+		Expect(ask(sites[0], goesOn)).To(Equal("old"), "before the first share")
+		time.Sleep(700 * time.Millisecond)
+		rollOut(control.UnsettledPercent)
+		Expect(ask(sites[1], goesOn)).To(Equal("old"), "the session goes on")
+		Expect(ask(sites[1], later)).To(Equal("new"), "a session that begins later belongs to the share")
+		Expect(ask(sites[0], later)).To(Equal("new"))
+	})
+
 	It("is unready at once when it stops, and serves until the load balancer has noticed", func() {
 		s := newSite(func(c *entry.Config) {
 			c.ServeLeaving, c.ServeLeavingStreams = 300*time.Millisecond, 100*time.Millisecond
--- a/server/workhint/workhint.go
+++ b/server/gossip/gossip.go
@@ -1,7 +1,8 @@
-// Package workhint tells the entry instances of each other's long prompts. What a backend server states of its load is late
-// and counts requests, not their size: without hints, each instance learns of another one's long prompt by the requests that
-// it lost behind it. Hints are datagrams that may be lost, repeated and late; they only improve decisions.
-package workhint
+// Package gossip passes hints between entry instances: of each other's long prompts, and of sessions that must stay on a
+// software version. What a backend server states of its load is late and counts requests, not their size: without hints, each
+// instance learns of another one's long prompt by the requests that it lost behind it. Hints are datagrams that may be lost,
+// repeated and late; they only improve decisions.
+package gossip
 
 import (
 	"context"
@@ -12,6 +13,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -22,28 +24,48 @@
 )
 
 // Error is the class of all errors of this package.
-var Error = errs.Class("workhint")
+var Error = errs.Class("gossip")
 
-// Hint says how much unread work one entry instance has at a backend server.
+// Hint is one message to all other entry instances. One of Work and Sessions is set.
 type Hint struct {
 	// Sender is one start of an entry instance; Sequence orders its hints.
 	Sender, Sequence uint64
+	Work             *Work
+	Sessions         *Sessions
+}
+
+// Work says how much unread work one entry instance has at a backend server.
+type Work struct {
 	// Server is the hash of the backend server's id.
 	Server uint64
 	// Tokens are prompt tokens that are not read yet, in tokens of the slowest model.
 	Tokens uint32
 }
 
+// Sessions names sessions that go on while a roll-out begins, and that stay on the old version.
+type Sessions struct {
+	// Rollout is the hash of the roll-out, Hashes are those of the sessions.
+	Rollout uint64
+	Hashes  []uint64
+}
+
 const (
 	// format is the first byte of a datagram. A receiver drops those of other formats.
 	format = 1
-	// hintSize is the size of an encoded hint in bytes, macSize that of its authentication code.
-	hintSize = 1 + 3*8 + 4
+	// The second byte says what the datagram holds.
+	kindWork     = 1
+	kindSessions = 2
+	// headSize and macSize are the sizes of the common fields and of the authentication code, in bytes.
+	headSize = 2 + 2*8
 	macSize  = 16
-	// wireSize is what one hint to one instance costs on the wire, with the headers of IP and UDP.
-	wireSize = hintSize + macSize + 28
+	workSize = 8 + 4
+	// MaxSessions bounds the sessions of one hint, so that a datagram fits into one packet of a usual network.
+	MaxSessions = 150
+	maxSize     = headSize + 8 + 8*MaxSessions + macSize
+	// packetOverhead is the size of the headers of IP and UDP.
+	packetOverhead = 28
 	// bytesPerSecond bounds what an instance sends: half of the 16 KB/s that a node may spend for control. With 9 instances
-	// that is 14 hints a second, with 410 one each three seconds.
+	// that is 14 hints of work a second, with 410 one each three seconds.
 	bytesPerSecond = 8 << 10
 	// maxWaiting is the number of hints that wait to be sent; a hint that is older than those is worth nothing.
 	maxWaiting = 32
@@ -90,8 +112,8 @@
 		cfg: cfg, conn: conn, own: conn.LocalAddr().(*net.UDPAddr).AddrPort(), sender: xxhash.Sum64String(cfg.Boot),
 		waiting: make(chan Hint, maxWaiting), limit: rate.NewLimiter(bytesPerSecond, 2*bytesPerSecond),
 		hints: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "clementinetray_work_hints_total",
-			Help: "Hints of long prompts, by what became of them: sent, received, dropped for the limit of bytes, refused as not authentic.",
+			Name: "clementinetray_hints_total",
+			Help: "Hints between entry instances, by what became of them: sent, received, dropped for the limit of bytes, refused as not authentic.",
 		}, []string{"outcome"}),
 	}
 	return e, Error.Wrap(cfg.Registerer.Register(e.hints))
@@ -100,9 +122,21 @@
 // Address returns the address of the socket.
 func (e *Exchange) Address() string { return e.own.String() }
 
-// Tell passes a hint on to the other instances. It never waits: a hint that can't be sent soon is dropped.
-func (e *Exchange) Tell(server uint64, tokens float64) {
-	h := Hint{Sender: e.sender, Sequence: e.sequence.Add(1), Server: server, Tokens: uint32(min(max(tokens, 0), 1<<31))}
+// TellWork tells the other instances of the unread work of this one at a backend server.
+func (e *Exchange) TellWork(server uint64, tokens float64) {
+	e.tell(Hint{Work: &Work{Server: server, Tokens: uint32(min(max(tokens, 0), 1<<31))}})
+}
+
+// TellSessions tells the other instances of sessions that go on while a roll-out begins.
+func (e *Exchange) TellSessions(rollout uint64, hashes []uint64) {
+	for some := range slices.Chunk(hashes, MaxSessions) {
+		e.tell(Hint{Sessions: &Sessions{Rollout: rollout, Hashes: some}})
+	}
+}
+
+// tell never waits: a hint that can't be sent soon is dropped.
+func (e *Exchange) tell(h Hint) {
+	h.Sender, h.Sequence = e.sender, e.sequence.Add(1)
 	select {
 	case e.waiting <- h:
 	default:
@@ -134,12 +168,11 @@
 }
 
 func (e *Exchange) broadcast(h Hint) {
-	members := e.cfg.Members()
-	if !e.limit.AllowN(time.Now(), min(wireSize*len(members), 2*bytesPerSecond)) {
+	members, datagram := e.cfg.Members(), e.encode(h)
+	if !e.limit.AllowN(time.Now(), min((len(datagram)+packetOverhead)*len(members), 2*bytesPerSecond)) {
 		e.hints.WithLabelValues("dropped").Inc()
 		return
 	}
-	datagram := e.encode(h)
 	for _, member := range members {
 		address, err := netip.ParseAddrPort(member)
 		if err != nil || address == e.own {
@@ -153,7 +186,7 @@
 }
 
 func (e *Exchange) receive() {
-	buffer := make([]byte, hintSize+macSize+1)
+	buffer := make([]byte, maxSize+1)
 	for {
 		n, from, err := e.conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
@@ -178,30 +211,53 @@
 }
 
 func (e *Exchange) encode(h Hint) []byte {
-	out := make([]byte, 0, hintSize+macSize)
-	out = append(out, format)
+	out := make([]byte, 0, maxSize)
+	kind := byte(kindWork)
+	if h.Sessions != nil {
+		kind = kindSessions
+	}
+	out = append(out, format, kind)
 	out = binary.BigEndian.AppendUint64(out, h.Sender)
 	out = binary.BigEndian.AppendUint64(out, h.Sequence)
-	out = binary.BigEndian.AppendUint64(out, h.Server)
-	out = binary.BigEndian.AppendUint32(out, h.Tokens)
+	if h.Sessions != nil {
+		out = binary.BigEndian.AppendUint64(out, h.Sessions.Rollout)
+		for _, hash := range h.Sessions.Hashes {
+			out = binary.BigEndian.AppendUint64(out, hash)
+		}
+	} else {
+		out = binary.BigEndian.AppendUint64(out, h.Work.Server)
+		out = binary.BigEndian.AppendUint32(out, h.Work.Tokens)
+	}
 	return append(out, e.mac(out)...)
 }
 
+// decode returns false for a datagram that is damaged, of another format or not from an instance of this site.
 func (e *Exchange) decode(in []byte) (Hint, bool) {
-	if len(in) != hintSize+macSize || in[0] != format || !hmac.Equal(in[hintSize:], e.mac(in[:hintSize])) {
+	size := len(in) - macSize
+	if size < headSize || in[0] != format || !hmac.Equal(in[size:], e.mac(in[:size])) {
+		return Hint{}, false
+	}
+	h := Hint{Sender: binary.BigEndian.Uint64(in[2:]), Sequence: binary.BigEndian.Uint64(in[10:])}
+	body := in[headSize:size]
+	switch {
+	case in[1] == kindWork && len(body) == workSize:
+		h.Work = &Work{Server: binary.BigEndian.Uint64(body), Tokens: binary.BigEndian.Uint32(body[8:])}
+	case in[1] == kindSessions && len(body) >= 8 && len(body)%8 == 0:
+		h.Sessions = &Sessions{Rollout: binary.BigEndian.Uint64(body)}
+		for rest := body[8:]; len(rest) > 0; rest = rest[8:] {
+			h.Sessions.Hashes = append(h.Sessions.Hashes, binary.BigEndian.Uint64(rest))
+		}
+	default:
 		return Hint{}, false
 	}
-	return Hint{
-		Sender: binary.BigEndian.Uint64(in[1:]), Sequence: binary.BigEndian.Uint64(in[9:]),
-		Server: binary.BigEndian.Uint64(in[17:]), Tokens: binary.BigEndian.Uint32(in[25:]),
-	}, true
+	return h, true
 }
 
 // mac authenticates a hint. A recorded hint that is sent again is no danger: it is older than the sequence that receivers hold,
 // or names a start that is over.
 func (e *Exchange) mac(hint []byte) []byte {
 	h := hmac.New(sha256.New, e.cfg.Secret)
-	h.Write([]byte("workhint"))
+	h.Write([]byte("gossip"))
 	h.Write(hint)
 	return h.Sum(nil)[:macSize]
 }
--- a/server/workhint/workhint_test.go
+++ b/server/gossip/gossip_test.go
@@ -1,4 +1,4 @@
-package workhint
+package gossip
 
 import (
 	"context"
@@ -14,12 +14,12 @@
 	"github.com/prometheus/client_golang/prometheus/testutil"
 )
 
-func TestWorkHint(t *testing.T) {
+func TestGossip(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "workhint")
+	RunSpecs(t, "gossip")
 }
 
-var _ = Describe("hints of work", func() {
+var _ = Describe("hints", func() {
 	var (
 		mu      sync.Mutex
 		members []string
@@ -48,23 +48,40 @@
 		a, own := start("a", "one secret of the site")
 		_, b := start("b", "one secret of the site")
 		_, c := start("c", "one secret of the site")
-		a.Tell(7, 50_000)
+		a.TellWork(7, 50_000)
 		for _, heard := range []chan Hint{b, c} {
 			var h Hint
 			Eventually(heard).Should(Receive(&h))
-			Expect(h).To(Equal(Hint{Sender: a.sender, Sequence: 1, Server: 7, Tokens: 50_000}))
+			Expect(h).To(Equal(Hint{Sender: a.sender, Sequence: 1, Work: &Work{Server: 7, Tokens: 50_000}}))
 		}
 		Consistently(own, 50*time.Millisecond).ShouldNot(Receive())
 	})
 
+	It("name all sessions, in several datagrams when there are many (guards against sessions that change their version)", func() {
+		a, _ := start("a", "")
+		_, b := start("b", "")
+		var hashes, got []uint64
+		for n := range uint64(MaxSessions + 10) {
+			hashes = append(hashes, n)
+		}
+		a.TellSessions(5, hashes)
+		for range 2 {
+			var h Hint
+			Eventually(b).Should(Receive(&h))
+			Expect(h.Sessions.Rollout).To(BeEquivalentTo(5))
+			got = append(got, h.Sessions.Hashes...)
+		}
+		Expect(got).To(ConsistOf(hashes))
+	})
+
 	It("are not taken from a stranger or damaged (guards against load that somebody made up)", func() {
 		stranger, _ := start("x", "another secret, not ours")
 		b, heard := start("b", "one secret of the site")
-		stranger.Tell(7, 50_000)
+		stranger.TellWork(7, 50_000)
 		conn, err := net.Dial("udp", b.Address())
 		Expect(err).NotTo(HaveOccurred())
 		defer func() { _ = conn.Close() }()
-		whole := b.encode(Hint{Sender: 1, Sequence: 1, Server: 7, Tokens: 1})
+		whole := b.encode(Hint{Sender: 1, Sequence: 1, Work: &Work{Server: 7, Tokens: 1}})
 		for _, datagram := range [][]byte{{}, {1}, whole[:len(whole)-1], append(whole[:len(whole):len(whole)], 0), append([]byte{9}, whole[1:]...)} {
 			_, err := conn.Write(datagram)
 			Expect(err).NotTo(HaveOccurred())
@@ -82,10 +99,28 @@
 		mu.Unlock()
 		started := time.Now()
 		for n := range 1000 {
-			a.Tell(uint64(n), 50_000)
+			a.TellWork(uint64(n), 50_000)
 		}
 		Expect(time.Since(started)).To(BeNumerically("<", time.Second))
 		Eventually(func() int { return len(a.waiting) }).Should(BeZero())
-		Expect(testutil.ToFloat64(a.hints.WithLabelValues("sent"))).To(BeNumerically("<=", 2*bytesPerSecond/(409*wireSize)+1))
+		Expect(testutil.ToFloat64(a.hints.WithLabelValues("sent"))).To(BeNumerically("<=", 2*bytesPerSecond/(409*(headSize+workSize+macSize+packetOverhead))+1))
 	})
 })
+
+// Guards against a datagram that ends the process or is taken for what it is not.
+func FuzzDecode(f *testing.F) {
+	e := &Exchange{cfg: Config{Secret: []byte("one secret of the site")}}
+	f.Add(e.encode(Hint{Sender: 1, Sequence: 2, Work: &Work{Server: 3, Tokens: 4}}))
+	f.Add(e.encode(Hint{Sender: 1, Sequence: 2, Sessions: &Sessions{Rollout: 3, Hashes: []uint64{4, 5}}}))
+	f.Add(e.encode(Hint{Sender: 1, Sequence: 2, Sessions: &Sessions{}}))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		h, ok := e.decode(in)
+		if !ok {
+			// The bytes of a stranger, with the right code: only the shape is left to refuse them.
+			h, ok = e.decode(append(in[:len(in):len(in)], e.mac(in)...))
+		}
+		if ok && (h.Work == nil) == (h.Sessions == nil) {
+			t.Errorf("decoded %v", h)
+		}
+	})
+}
--- a/server/rollout/service_judge.go
+++ b/server/rollout/service_judge.go
@@ -87,9 +87,12 @@
 
 // serviceSteps keep a version that turns bad late or under load from more than an eighth of the requests of the whole time
 // limit: half of it at a small share, the rest in steps that are long enough for reports of a second.
-var serviceSteps = []step{{0, 6}, {50, 15}, {60, 30}, {70, 60}, {78, 100}}
+var serviceSteps = []step{{0, 0}, {opensAfter, control.UnsettledPercent}, {settledAfter, 15}, {60, 30}, {70, 60}, {78, 100}}
 
 const (
+	// opensAfter is the share of the time limit, in percent, before which no request goes to the new version: entry instances
+	// tell each other meanwhile which sessions go on and stay on the old one. Of the shortest roll-outs, 16 s, it is 1.3 s.
+	opensAfter = 8
 	// settledAfter is the share of the time limit, in percent, from which on sessions may move to the new version.
 	settledAfter = 50
 	// doneAfter is the share, in percent, after which a version without faults has succeeded. What is left covers the commit
--- a/server/rollout/service_test.go
+++ b/server/rollout/service_test.go
@@ -69,7 +69,8 @@
 		percent int
 		settled bool
 	}{
-		{"begins with a small share", 0, 0, "", control.RolloutRunning, 6, false},
+		{"sends nothing there before all instances know the sessions that go on", 1500 * time.Millisecond, 0, "", control.RolloutRunning, 0, false},
+		{"begins with a small share", 1600 * time.Millisecond, 0, "", control.RolloutRunning, 6, false},
 		{"keeps sessions in its first half", 9900 * time.Millisecond, 50, "", control.RolloutRunning, 6, false},
 		{"moves sessions after that", 10 * time.Second, 50, "", control.RolloutRunning, 15, true},
 		{"takes all before the end", 16 * time.Second, 50, "", control.RolloutRunning, 100, true},
--- a/server/routing/software.go
+++ b/server/routing/software.go
@@ -32,11 +32,16 @@
 	case bound == r.To:
 		s.fresh = true
 	case bound == "" || r.Settled:
-		s.fresh = int(Share(shareKey, r.To)*100) < r.Percent
+		s.fresh = InShare(shareKey, r.To, r.Percent)
 	}
 	return s
 }
 
+// InShare reports whether a session or request belongs to the given percentage that runs on the version.
+func InShare(shareKey, version string, percent int) bool {
+	return int(Share(shareKey, version)*100) < percent
+}
+
 // Prefers reports whether a backend server of the version is what the request should run on. Allows is asked where no such
 // backend server takes work.
 func (s Software) Prefers(version string) bool {
