--- a/api/control/messages.go
+++ b/api/control/messages.go
@@ -104,9 +104,9 @@
 	Done       []string `json:"done,omitempty"`
 }
 
-// UnsettledPercent is the share of new sessions and requests for the new version before a roll-out is settled: a version that
-// fails is found by a few dozen requests.
-const UnsettledPercent = 6
+// UnsettledPercent is the share of new sessions and requests for the new version of a service until it takes all: a version
+// that fails is found by a few dozen requests.
+const UnsettledPercent = 4
 
 // Quarantine is the section of requests that crash backend servers.
 type Quarantine struct {
--- a/server/rollout/service_judge.go
+++ b/server/rollout/service_judge.go
@@ -85,9 +85,9 @@
 	after, percent int
 }
 
-// serviceSteps keep a version that turns bad late or under load from more than an eighth of the requests of the whole time
-// limit: half of it at a small share, the rest in steps that are long enough for reports of a second.
-var serviceSteps = []step{{0, 0}, {opensAfter, control.UnsettledPercent}, {settledAfter, 15}, {60, 30}, {70, 60}, {78, 100}}
+// serviceSteps keep the new version from more than an eighth of the requests of the whole time limit: a version that is bad
+// under load only, or turns bad late, may show no fault before it serves all requests.
+var serviceSteps = []step{{0, 0}, {opensAfter, control.UnsettledPercent}, {allAfter, 100}}
 
 const (
 	// opensAfter is the share of the time limit, in percent, before which no request goes to the new version: entry instances
@@ -95,9 +95,12 @@
 	opensAfter = 8
 	// settledAfter is the share of the time limit, in percent, from which on sessions may move to the new version.
 	settledAfter = 50
-	// doneAfter is the share, in percent, after which a version without faults has succeeded. What is left covers the commit
-	// and the operator's question.
-	doneAfter = 90
+	// allAfter is the share, in percent, from which on all requests go to the new version. Until doneAfter, streams end on the
+	// old one.
+	allAfter = 89
+	// doneAfter is the share, in percent, after which a version without faults has succeeded. What is left, 1 s of the shortest
+	// roll-outs, covers the commit and the operator's question.
+	doneAfter = 94
 	// minServiceRequests is the number of requests that a version must have served to succeed.
 	minServiceRequests = 5
 )
--- a/server/rollout/service_test.go
+++ b/server/rollout/service_test.go
@@ -70,14 +70,14 @@
 		settled bool
 	}{
 		{"sends nothing there before all instances know the sessions that go on", 1500 * time.Millisecond, 0, "", control.RolloutRunning, 0, false},
-		{"begins with a small share", 1600 * time.Millisecond, 0, "", control.RolloutRunning, 6, false},
-		{"keeps sessions in its first half", 9900 * time.Millisecond, 50, "", control.RolloutRunning, 6, false},
-		{"moves sessions after that", 10 * time.Second, 50, "", control.RolloutRunning, 15, true},
-		{"takes all before the end", 16 * time.Second, 50, "", control.RolloutRunning, 100, true},
-		{"succeeds before the time limit", 18 * time.Second, 50, "", control.RolloutDone, 100, true},
-		{"does not succeed unseen", 18 * time.Second, 0, "", control.RolloutRunning, 100, true},
+		{"begins with a small share", 1600 * time.Millisecond, 0, "", control.RolloutRunning, control.UnsettledPercent, false},
+		{"keeps sessions in its first half", 9900 * time.Millisecond, 50, "", control.RolloutRunning, control.UnsettledPercent, false},
+		{"moves sessions after that", 10 * time.Second, 50, "", control.RolloutRunning, control.UnsettledPercent, true},
+		{"takes all before the end", 17800 * time.Millisecond, 50, "", control.RolloutRunning, 100, true},
+		{"succeeds before the time limit", 18800 * time.Millisecond, 50, "", control.RolloutDone, 100, true},
+		{"does not succeed unseen", 18800 * time.Millisecond, 0, "", control.RolloutRunning, 100, true},
 		{"is rolled back unseen at the time limit", 20 * time.Second, 0, "", control.RolloutRolledBack, 100, true},
-		{"is rolled back at once when it is bad", 3 * time.Second, 9, "fails", control.RolloutRolledBack, 6, false},
+		{"is rolled back at once when it is bad", 3 * time.Second, 9, "fails", control.RolloutRolledBack, control.UnsettledPercent, false},
 		{"is rolled back when it turns bad late", 19 * time.Second, 90, "fails", control.RolloutRolledBack, 100, true},
 	}
 	for _, c := range cases {
@@ -90,33 +90,41 @@
 	}
 }
 
-// Guards against steps that let a version which turns bad at any time reach more callers than the time limit allows: 15% of
-// all requests and 30 beside them, with 2 s until every instance has stopped.
+// Guards against steps that let a version reach more callers than the time limit allows, 15% of all requests and 30 beside
+// them: with 2 s until every instance has stopped when it turns bad, and also when it shows no fault at all, as a version does
+// that is bad under a load which the day does not have.
 func TestStepsBoundTheExposure(t *testing.T) {
-	const perSecond, limit, reaction = 33.0, 24 * time.Second, 2 * time.Second
-	r := control.ServiceRollout{Seconds: int(limit / time.Second), State: control.RolloutRunning}
-	for badFrom := time.Duration(0); badFrom < limit; badFrom += time.Second / 2 {
-		exposed, failures, stoppedAt := 0.0, 0.0, time.Duration(-1)
-		const step = 50 * time.Millisecond
-		for at := time.Duration(0); at < limit; at += step {
-			progress := nextProgress(r, at, 50, "")
-			if progress.State == control.RolloutDone {
-				break
-			}
-			sent := perSecond * step.Seconds() * float64(progress.Percent) / 100
-			if stoppedAt < 0 || at < stoppedAt {
-				exposed += sent
-			}
-			if at >= badFrom {
-				failures += sent * 0.4
+	const perSecond, reaction, never = 33.0, 2 * time.Second, time.Hour
+	for _, limit := range []time.Duration{16 * time.Second, 24 * time.Second, time.Minute} {
+		r := control.ServiceRollout{Seconds: int(limit / time.Second), State: control.RolloutRunning}
+		badFroms := []time.Duration{never}
+		for at := time.Duration(0); at < limit; at += time.Second / 2 {
+			badFroms = append(badFroms, at)
+		}
+		for _, badFrom := range badFroms {
+			exposed, failures, stoppedAt := 0.0, 0.0, never
+			const step = 50 * time.Millisecond
+			for at := time.Duration(0); at < limit; at += step {
+				progress := nextProgress(r, at, 50, "")
+				percent := progress.Percent
+				if progress.State == control.RolloutDone {
+					percent = 100
+				}
+				sent := perSecond * step.Seconds() * float64(percent) / 100
+				if at < stoppedAt {
+					exposed += sent
+				}
+				if at >= badFrom {
+					failures += sent * 0.4
+				}
+				if failures >= 4 && stoppedAt == never {
+					stoppedAt = at + reaction
+				}
 			}
-			if failures >= 4 && stoppedAt < 0 {
-				stoppedAt = at + reaction
+			if bound := 0.15*perSecond*limit.Seconds() + 30; exposed > bound {
+				t.Errorf("limit %s, bad from %s on: %.0f requests were exposed, at most %.0f are allowed", limit, badFrom, exposed, bound)
 			}
 		}
-		if bound := 0.15*perSecond*limit.Seconds() + 30; badFrom < 18*time.Second && exposed > bound {
-			t.Errorf("bad from %s on: %.0f requests were exposed, at most %.0f are allowed", badFrom, exposed, bound)
-		}
 	}
 }
 
