--- a/ctl/command/args.go
+++ b/ctl/command/args.go
@@ -100,7 +100,8 @@
 }
 
 type explainArgs struct {
-	Request string `arg:"positional,required" help:"request id"`
+	Request string   `arg:"positional,required" help:"request id"`
+	Logs    []string `arg:"--log,separate" placeholder:"FILE" help:"read the logs of the processes from this file instead of asking the control group; repeatable, - is standard input"`
 }
 
 type replicaArgs struct {
--- a/ctl/command/command.go
+++ b/ctl/command/command.go
@@ -104,7 +104,7 @@
 	switch {
 	case execute == nil:
 		return nil, ErrUsage.New("a command is missing; see --help")
-	case len(a.Servers) == 0:
+	case len(a.Servers) == 0 && (a.Explain == nil || len(a.Explain.Logs) == 0):
 		return nil, ErrUsage.New("--server or CLEMENTINECTL_SERVER is required")
 	case a.Output != "table" && a.Output != "json":
 		return nil, ErrUsage.New("the output format is table or json, not %q", a.Output)
--- a/ctl/command/reads.go
+++ b/ctl/command/reads.go
@@ -239,6 +239,9 @@
 
 func (r *run) explain(ctx context.Context) error {
 	id := r.args.Explain.Request
+	if logs := r.args.Explain.Logs; len(logs) > 0 {
+		return r.explainLogs(id, logs)
+	}
 	merge, err := r.fetchTimeline(ctx, url.Values{"request": {id}})
 	if err != nil {
 		return err
