Stop routed requests that crash backend servers

A request that kills each server which runs it came back through routes without end: chat and services had the quarantine, routes had none. A broken attempt now makes the instance ask, beside the request, whether the server still takes connections; a server that is gone is reported with the request's fingerprint (workspace, method, path, body), and from three such servers on the request is refused at each instance. Ruled out as signs of a crash: answers that are lost and connections that are cut while the server lives. Requests that were answered whole meanwhile are not counted. Removing the report fails the new test.

--- a/server/entry/crashes.go
+++ b/server/entry/crashes.go
@@ -64,6 +64,12 @@
 	c.byPrint[print] = crashCount{crashes: crashes, at: now}
 }
 
+func (c *crashCache) empty() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.byPrint) == 0
+}
+
 func (c *crashCache) get(print string, now time.Time) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/server/entry/handler.go
+++ b/server/entry/handler.go
@@ -33,9 +33,11 @@
 	outcomes    *outcomeCounts
 	latency     *latencyWatch
 	crashes     *crashCache
-	running     *runningAttempts
-	finisher    *callFinisher
-	ratings     *rater
+	// harmless are routed requests that were answered whole.
+	harmless *harmless
+	running  *runningAttempts
+	finisher *callFinisher
+	ratings  *rater
 
 	// balance is what this instance knows of the backend servers of routed requests.
 	balance *balance.Tracker
@@ -80,7 +82,7 @@
 		bills: newBiller(&cfg, m), sessions: newSessionCache(cfg.SessionCache),
 		answers: newAnswerStore(cfg.AnswerRetention, cfg.AnswerMemory, m), queue: newWaitQueue(cfg.MaxWaiting, m),
 		outcomes: newOutcomeCounts(), latency: newLatencyWatch(), crashes: newCrashCache(), running: newRunningAttempts(),
-		balance: balance.NewTracker(), bound: newBoundSessions(), keptOld: newKeptSessions(), budgets: map[string]*retry.Budget{},
+		balance: balance.NewTracker(), bound: newBoundSessions(), keptOld: newKeptSessions(), harmless: newHarmless(), budgets: map[string]*retry.Budget{},
 		idle: make(chan struct{}), stop: stop,
 	}
 	h.slots = newSlotHolder(&h.cfg)
--- a/server/entry/routed.go
+++ b/server/entry/routed.go
@@ -71,6 +71,10 @@
 		return
 	}
 	rq.routed.body = body
+	if p := h.checkRoutedCrashes(rq); p != nil {
+		h.refuseRouted(w, rq, p)
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), rq.routed.limit)
 	defer cancel()
 	h.runRouted(ctx, w, rq)
--- a/server/entry/routed_run.go
+++ b/server/entry/routed_run.go
@@ -125,6 +125,9 @@
 	if f.doubtful() {
 		h.balance.Failed(now, server.ID)
 	}
+	if f.died {
+		h.noteCrash(rq, server)
+	}
 	if f.refused != nil {
 		call.failure = f.refused
 	}
--- a/server/entry/routed_test.go
+++ b/server/entry/routed_test.go
@@ -366,3 +366,59 @@
 		}
 	})
 })
+
+var _ = Describe("a routed request that crashes backend servers", func() {
+	idempotent := catalogue.Route{Kind: catalogue.KindIdempotent, MaxAttempts: 3}
+	// fragile makes a backend server that dies when it runs a request to /r/poison, and answers others.
+	fragile := func(id string) *backend {
+		var b *backend
+		b = newBackend(id, func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/r/poison" {
+				_ = b.server.Listener.Close()
+				panic(http.ErrAbortHandler)
+			}
+			echo(http.StatusOK, "well")(w, r)
+		})
+		return b
+	}
+
+	// Guards against a request that takes down one backend server after the other, under ids of its own at any instance.
+	It("is stopped after three crashes, here and where the view says so, and costs no other request its answer", func() {
+		var backends []*backend
+		for n := range 6 {
+			backends = append(backends, fragile(fmt.Sprint("b", n)))
+		}
+		s := routedSite(idempotent, backends...)
+		Expect(send(s.request("POST", "/r/poison", "body")).status).NotTo(Equal(http.StatusOK))
+		Eventually(s.control.crashCount).Should(Equal(3))
+		var got reply
+		Eventually(func() problem.Reason {
+			got = send(s.request("POST", "/r/x", "body"))
+			Expect(got.status).To(Equal(http.StatusOK))
+			got = send(s.request("POST", "/r/poison", "body"))
+			return got.problem.Reason
+		}).Should(Equal(problem.Quarantined))
+		Expect(s.control.crashCount()).To(Equal(3))
+
+		elsewhere := routedSite(idempotent, fragile("b9"))
+		s.control.set(func() {
+			crashes := map[string]int{}
+			for print, pairs := range s.control.crashes {
+				crashes[print] = len(pairs)
+			}
+			elsewhere.current.Quarantine = &control.Quarantine{Crashes: crashes}
+		})
+		elsewhere.confirm(time.Now())
+		Expect(send(elsewhere.request("POST", "/r/poison", "body")).problem.Reason).To(Equal(problem.Quarantined))
+		Expect(send(elsewhere.request("POST", "/r/x", "body")).status).To(Equal(http.StatusOK))
+	})
+
+	// Guards against a quarantine of requests whose answers were lost on the way.
+	It("is not what a request is whose connection alone broke", func() {
+		s := routedSite(idempotent, newBackend("b1", cutAtOnce), newBackend("b2", cutInBody), newBackend("b3", cutAtOnce))
+		for range 3 {
+			Expect(send(s.request("POST", "/r/x", "body")).problem.Reason).NotTo(Equal(problem.Quarantined))
+		}
+		Consistently(s.control.crashCount, 400*time.Millisecond).Should(BeZero())
+	})
+})
