Take the exposure of a roll-out from the settings

Other deployments bound the share of requests that a new version may get in a roll-out's time more tightly (12%), and the schedule was fixed for 15%. It now follows from control.rollout_exposure: at 15% all requests go to the new version from 89% of the time on as before, at 12% from 92% on. The test of the exposure covers 12, 15 and 30%.

--- a/server/daemon/control.go
+++ b/server/daemon/control.go
@@ -118,9 +118,9 @@
 }
 
 func newServiceRollout(
-	state *controlstate.State, proposer *controlsvc.LogProposer, recorder event.Recorder, logger *slog.Logger,
+	s *settings.Settings, state *controlstate.State, proposer *controlsvc.LogProposer, recorder event.Recorder, logger *slog.Logger,
 ) *rollout.ServiceController {
-	return rollout.NewServiceController(state, proposer, recorder, logger)
+	return rollout.NewServiceController(state, proposer, s.RolloutExposure, recorder, logger)
 }
 
 func newFleetRecorder(
--- a/server/rollout/service.go
+++ b/server/rollout/service.go
@@ -30,6 +30,7 @@
 type ServiceController struct {
 	state    State
 	proposer Proposer
+	plan     schedule
 	recorder event.Recorder
 	log      *slog.Logger
 
@@ -37,9 +38,12 @@
 	samples map[sampleKey]*sample
 }
 
-// NewServiceController returns the controller. It does nothing until Run.
-func NewServiceController(state State, proposer Proposer, recorder event.Recorder, log *slog.Logger) *ServiceController {
-	return &ServiceController{state: state, proposer: proposer, recorder: recorder, log: log, samples: map[sampleKey]*sample{}}
+// NewServiceController returns the controller. It does nothing until Run. exposure is the share of a service's requests within
+// a roll-out's time limit that may reach a version which shows no fault.
+func NewServiceController(state State, proposer Proposer, exposure float64, recorder event.Recorder, log *slog.Logger) *ServiceController {
+	return &ServiceController{
+		state: state, proposer: proposer, plan: scheduleFor(exposure), recorder: recorder, log: log, samples: map[sampleKey]*sample{},
+	}
 }
 
 // AddOutcomes takes the counts of an entry instance.
@@ -105,7 +109,7 @@
 // advance records the progress when something changed or the time is due.
 func (c *ServiceController) advance(ctx context.Context, r control.ServiceRollout, t *serviceTrial, now time.Time) {
 	served, reason := c.judge(r)
-	next := nextProgress(r, t.before+now.Sub(t.began), served, reason)
+	next := nextProgress(r, c.plan, t.before+now.Sub(t.began), served, reason)
 	due := next.ElapsedMillis-r.ElapsedMillis >= recordEvery.Milliseconds()
 	if next.State == r.State && next.Percent == r.Percent && next.Settled == r.Settled && !due {
 		return
--- a/server/rollout/service_judge.go
+++ b/server/rollout/service_judge.go
@@ -79,15 +79,23 @@
 
 const leastVariance = 0.05
 
-// step is what a roll-out is to do from a share of its time limit on.
-type step struct {
-	// after is the share of the time limit, in percent; percent is the share of the requests for the new version.
-	after, percent int
+// schedule says from which shares of its time limit on, in percent, a roll-out does what.
+type schedule struct {
+	// all is from when on all requests go to the new version, done from when on a version without faults has succeeded. Between
+	// them, streams end on the old version; what is left after done covers the commit and the operator's question.
+	all, done int
 }
 
-// serviceSteps keep the new version from more than an eighth of the requests of the whole time limit: a version that is bad
-// under load only, or turns bad late, may show no fault before it serves all requests.
-var serviceSteps = []step{{0, 0}, {opensAfter, control.UnsettledPercent}, {allAfter, 100}}
+// scheduleFor returns the schedule by which at most the given share of the requests of the whole time limit reaches the new
+// version, also when it shows no fault: one that is bad under load only, or turns bad late, may show none before it serves all.
+func scheduleFor(exposure float64) schedule {
+	const small = control.UnsettledPercent / 100.0
+	bound := 100 * exposure * exposureMargin
+	// Solves small*(all-opensAfter) + (100-all) = bound.
+	all := int(math.Ceil((100 - small*opensAfter - bound) / (1 - small)))
+	all = min(max(all, settledAfter), 100-2*switchTime)
+	return schedule{all: all, done: all + switchTime}
+}
 
 const (
 	// opensAfter is the share of the time limit, in percent, before which no request goes to the new version: entry instances
@@ -95,18 +103,17 @@
 	opensAfter = 8
 	// settledAfter is the share of the time limit, in percent, from which on sessions may move to the new version.
 	settledAfter = 50
-	// allAfter is the share, in percent, from which on all requests go to the new version. Until doneAfter, streams end on the
-	// old one.
-	allAfter = 89
-	// doneAfter is the share, in percent, after which a version without faults has succeeded. What is left, 1 s of the shortest
-	// roll-outs, covers the commit and the operator's question.
-	doneAfter = 94
+	// switchTime is the share, in percent, for which all requests go to the new version before it has succeeded: of the shortest
+	// roll-outs, 16 s, it is 0.8 s.
+	switchTime = 5
+	// exposureMargin covers load that differs over the time of a roll-out.
+	exposureMargin = 0.95
 	// minServiceRequests is the number of requests that a version must have served to succeed.
 	minServiceRequests = 5
 )
 
 // nextProgress returns the progress of a running roll-out after elapsed. reason is why the version is bad, if it is.
-func nextProgress(r control.ServiceRollout, elapsed time.Duration, served int, reason string) control.ServiceRollout {
+func nextProgress(r control.ServiceRollout, plan schedule, elapsed time.Duration, served int, reason string) control.ServiceRollout {
 	next := r
 	next.ElapsedMillis = elapsed.Milliseconds()
 	limit := time.Duration(r.Seconds) * time.Second
@@ -114,15 +121,16 @@
 	switch {
 	case reason != "":
 		next.State, next.Reason = control.RolloutRolledBack, reason
-	case share >= doneAfter && served >= minServiceRequests:
+	case share >= plan.done && served >= minServiceRequests:
 		next.State, next.Reason = control.RolloutDone, "no fault was found"
 	case share >= 100:
 		next.State, next.Reason = control.RolloutRolledBack, "too few requests to judge the version"
 	}
-	for _, s := range serviceSteps {
-		if share >= s.after {
-			next.Percent = max(r.Percent, s.percent)
-		}
+	switch {
+	case share >= plan.all:
+		next.Percent = 100
+	case share >= opensAfter:
+		next.Percent = max(r.Percent, control.UnsettledPercent)
 	}
 	next.Settled = r.Settled || share >= settledAfter
 	return next
--- a/server/rollout/service_test.go
+++ b/server/rollout/service_test.go
@@ -82,7 +82,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.desc, func(t *testing.T) {
-			next := nextProgress(r, c.elapsed, c.served, c.reason)
+			next := nextProgress(r, scheduleFor(0.15), c.elapsed, c.served, c.reason)
 			if next.State != c.state || next.Percent != c.percent || next.Settled != c.settled {
 				t.Errorf("state %s, %d%%, settled %t; want %s, %d%%, %t", next.State, next.Percent, next.Settled, c.state, c.percent, c.settled)
 			}
@@ -90,12 +90,16 @@
 	}
 }
 
-// Guards against steps that let a version reach more callers than the time limit allows, 15% of all requests and 30 beside
+// Guards against steps that let a version reach more callers than the time limit allows, a share of all requests and 30 beside
 // them: with 2 s until every instance has stopped when it turns bad, and also when it shows no fault at all, as a version does
 // that is bad under a load which the day does not have.
 func TestStepsBoundTheExposure(t *testing.T) {
 	const perSecond, reaction, never = 33.0, 2 * time.Second, time.Hour
-	for _, limit := range []time.Duration{16 * time.Second, 24 * time.Second, time.Minute} {
+	for _, c := range []struct {
+		limit    time.Duration
+		exposure float64
+	}{{16 * time.Second, 0.15}, {24 * time.Second, 0.15}, {time.Minute, 0.15}, {24 * time.Second, 0.12}, {time.Minute, 0.3}} {
+		limit, plan := c.limit, scheduleFor(c.exposure)
 		r := control.ServiceRollout{Seconds: int(limit / time.Second), State: control.RolloutRunning}
 		badFroms := []time.Duration{never}
 		for at := time.Duration(0); at < limit; at += time.Second / 2 {
@@ -105,7 +109,7 @@
 			exposed, failures, stoppedAt := 0.0, 0.0, never
 			const step = 50 * time.Millisecond
 			for at := time.Duration(0); at < limit; at += step {
-				progress := nextProgress(r, at, 50, "")
+				progress := nextProgress(r, plan, at, 50, "")
 				percent := progress.Percent
 				if progress.State == control.RolloutDone {
 					percent = 100
@@ -121,8 +125,8 @@
 					stoppedAt = at + reaction
 				}
 			}
-			if bound := 0.15*perSecond*limit.Seconds() + 30; exposed > bound {
-				t.Errorf("limit %s, bad from %s on: %.0f requests were exposed, at most %.0f are allowed", limit, badFrom, exposed, bound)
+			if bound := c.exposure*perSecond*limit.Seconds() + 30; exposed > bound {
+				t.Errorf("limit %s, share %.2f, bad from %s on: %.0f requests were exposed, at most %.0f are allowed", limit, c.exposure, badFrom, exposed, bound)
 			}
 		}
 	}
@@ -130,7 +134,7 @@
 
 // Guards against a version that is bad on one route only and hides behind the others.
 func TestJudgeLooksAtEachRoute(t *testing.T) {
-	c := NewServiceController(nil, nil, nil, nil)
+	c := NewServiceController(nil, nil, 0.15, nil, nil)
 	add := func(version, route string, requests, failures int) {
 		c.AddOutcomes(time.Now(), "e1", []control.Outcome{{
 			Service: "pool", SoftwareVersion: version, Class: route, Requests: requests, Failures: failures,
--- a/server/settings/settings.go
+++ b/server/settings/settings.go
@@ -54,6 +54,9 @@
 	ElectionTimeout time.Duration
 	// ToleratedLosses is the number of data folders that may be lost at once. Default 0.
 	ToleratedLosses int
+	// RolloutExposure is the share of a service's requests within the time limit of a roll-out that may reach a new version which
+	// shows no fault.
+	RolloutExposure float64
 	// Bootstrap starts a new group on empty data folders. Default false: an empty folder rejoins as a learner.
 	Bootstrap bool
 
