--- a/standin/emulator/site.go
+++ b/standin/emulator/site.go
@@ -14,6 +14,8 @@
 // Request is one generation.
 type Request struct {
 	At time.Duration
+	// Kind groups requests in the result.
+	Kind string
 	// Entry is the entry instance that the request arrives at.
 	Entry                      int
 	PromptTokens, OutputTokens int
@@ -49,16 +51,32 @@
 	Worth float64
 	// TokensRead are the prompt tokens that engines read.
 	TokensRead int
-	firsts     []time.Duration
+	// Outcomes are the requests in the order in which they ended.
+	Outcomes []Outcome
+}
+
+// Outcome is how one request ended.
+type Outcome struct {
+	Kind string
+	// First is the time to the first event, Pause the longest pause between two events.
+	First, Pause time.Duration
+	OK, InTime   bool
+	Worth        float64
 }
 
 // First returns a percentile of the time to the first event.
 func (r *Result) First(percent int) time.Duration {
-	if len(r.firsts) == 0 {
+	var firsts []time.Duration
+	for _, o := range r.Outcomes {
+		if o.OK {
+			firsts = append(firsts, o.First)
+		}
+	}
+	if len(firsts) == 0 {
 		return 0
 	}
-	slices.Sort(r.firsts)
-	return r.firsts[min(len(r.firsts)*percent/100, len(r.firsts)-1)]
+	slices.Sort(firsts)
+	return firsts[min(len(firsts)*percent/100, len(firsts)-1)]
 }
 
 // Site is a pool of engines.
@@ -92,19 +110,18 @@
 			running.paced = func(now, gap time.Duration) { place.Paced(now, r, at, gap) }
 			running.ended = func(now time.Duration, ok bool) {
 				place.Ended(now, r, at)
-				first := running.first - r.At
+				o := Outcome{Kind: r.Kind, First: running.first - r.At, Pause: running.pause, OK: ok, Worth: r.Worth}
+				o.InTime = ok && o.First <= r.Target && o.Pause <= r.Gap
 				switch {
 				case !ok:
 					s.result.Failed++
-				case first <= r.Target && running.pause <= r.Gap:
+				case o.InTime:
 					s.result.InTime++
 					earned += r.Worth
 				default:
 					s.result.Late++
 				}
-				if ok {
-					s.result.firsts = append(s.result.firsts, first)
-				}
+				s.result.Outcomes = append(s.result.Outcomes, o)
 			}
 			s.engines[at].add(running)
 		})
