Pay for the end of a hint together with its begin

Cause: on a grown site (85 entry instances) the limit of bytes dropped hints at random, among them those that a long prompt was read. Change: an instance that can't pay for both datagrams tells nothing, and what ended is always told; a hint holds 1 to 5 s by its size.

--- a/server/balance/balance_test.go
+++ b/server/balance/balance_test.go
@@ -229,7 +229,10 @@
 	}
 	var said []told
 	other, own := balance.NewTracker(), balance.NewTracker()
-	other.TellWith(func(server uint64, tokens float64) { said = append(said, told{server, tokens}) })
+	other.TellWith(func(server uint64, tokens float64, _ bool) bool {
+		said = append(said, told{server, tokens})
+		return true
+	})
 	rows := []balance.Row{{ID: "x", Zone: "a", Slots: 64}, {ID: "y", Zone: "a", Slots: 64}}
 	small := &balance.Request{PromptTokens: 500, Pace: 1, Zone: "a"}
 	chosen := func(now time.Time) map[string]int {
--- a/server/balance/tracker.go
+++ b/server/balance/tracker.go
@@ -48,7 +48,7 @@
 	servers map[string]*server
 	byHash  map[uint64]*server
 	// tell passes on how much unread work this instance has at a backend server; nil: nobody is told.
-	tell func(server uint64, tokens float64)
+	tell Tell
 	// meanWork is the running mean of the work of a request, in tokens of the slowest model.
 	meanWork float64
 }
@@ -90,8 +90,11 @@
 	// heavyWork is the change of unread work, in tokens of the slowest model, that other entry instances are told of: an engine
 	// reads it in about 0.1 s, during which other requests there wait.
 	heavyWork = 4_000
-	// remoteLife is how long a hint holds that no later one replaces. Engines read the longest prompts in 2 to 5 s.
-	remoteLife = 5 * time.Second
+	// remoteLife is how long a hint holds that no later one replaces, for each token of its work and at least and most: engines
+	// read 25 to 50 tokens of the slowest model in a millisecond, and others may wait before them.
+	remoteLife = 100 * time.Microsecond
+	leastLife  = time.Second
+	mostLife   = 5 * time.Second
 	// maxRemote bounds the senders that are remembered of one backend server.
 	maxRemote = 64
 )
@@ -101,9 +104,12 @@
 	return &Tracker{servers: map[string]*server{}, byHash: map[uint64]*server{}}
 }
 
-// TellWith makes the tracker pass on changes of the unread work that this instance has at a backend server, which is named
-// by its Hash. tell must not block.
-func (t *Tracker) TellWith(tell func(server uint64, tokens float64)) {
+// Tell passes on how much unread work this instance has at a backend server, which is named by its Hash; more says that it
+// grew. It must not block. It returns false when nobody was told.
+type Tell func(server uint64, tokens float64, more bool) bool
+
+// TellWith makes the tracker pass on changes of the unread work that this instance has at a backend server.
+func (t *Tracker) TellWith(tell Tell) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.tell = tell
@@ -111,9 +117,8 @@
 
 // tellLocked tells others when the unread work changed much. t.mu is held.
 func (t *Tracker) tellLocked(s *server) {
-	if t.tell != nil && math.Abs(s.queued-s.told) >= heavyWork {
+	if t.tell != nil && math.Abs(s.queued-s.told) >= heavyWork && t.tell(s.hash, s.queued, s.queued > s.told) {
 		s.told = s.queued
-		t.tell(s.hash, s.queued)
 	}
 }
 
@@ -130,7 +135,7 @@
 		s.remote = map[uint64]remoteWork{}
 	}
 	for id, w := range s.remote {
-		if now.Sub(w.at) > remoteLife || len(s.remote) >= maxRemote {
+		if now.Sub(w.at) > mostLife || len(s.remote) >= maxRemote {
 			delete(s.remote, id)
 		}
 	}
@@ -141,7 +146,7 @@
 func (s *server) heard(now time.Time) float64 {
 	sum := 0.0
 	for _, w := range s.remote {
-		if now.Sub(w.at) <= remoteLife {
+		if now.Sub(w.at) <= min(max(time.Duration(w.tokens)*remoteLife, leastLife), mostLife) {
 			sum += w.tokens
 		}
 	}
--- a/server/entry/routed_place.go
+++ b/server/entry/routed_place.go
@@ -53,9 +53,8 @@
 	return h.holdPlace(rq, server, size, candidates[best].ColdRate), nil
 }
 
-// TellWorkWith makes the handler pass on how much unread prompt work it has at each backend server, named by balance.Hash.
-// tell must not block.
-func (h *Handler) TellWorkWith(tell func(server uint64, tokens float64)) { h.balance.TellWith(tell) }
+// TellWorkWith makes the handler pass on how much unread prompt work it has at each backend server.
+func (h *Handler) TellWorkWith(tell balance.Tell) { h.balance.TellWith(tell) }
 
 // HearWork takes what another entry instance told of its unread prompt work at a backend server.
 func (h *Handler) HearWork(sender, sequence, server uint64, tokens float64) {
--- a/server/gossip/gossip.go
+++ b/server/gossip/gossip.go
@@ -65,11 +65,13 @@
 	// packetOverhead is the size of the headers of IP and UDP.
 	packetOverhead = 28
 	// bytesPerSecond bounds what an instance sends, and over all instances what each receives: with the 7.9 KB/s of the other
-	// control traffic, both together stay within the 16 KB/s that a node may spend. With 9 instances that is 6 hints of work a
-	// second, with 410 one each seven seconds.
+	// control traffic, both together stay within the 16 KB/s that a node may spend. With 9 instances that is 3 long prompts a
+	// second, with 410 one each fifteen seconds.
 	bytesPerSecond = 4 << 10
-	// maxWaiting is the number of hints that wait to be sent; a hint that is older than those is worth nothing.
-	maxWaiting = 32
+	// burstBytes is one hint of work, and that it ended, to each of 410 instances.
+	burstBytes = 60 << 10
+	// maxWaiting is the number of hints that wait to be sent, some milliseconds' worth.
+	maxWaiting = 256
 )
 
 // Config holds what an Exchange needs. Secret may be nil where the network admits only the system's own processes.
@@ -111,10 +113,10 @@
 	}
 	e := &Exchange{
 		cfg: cfg, conn: conn, own: conn.LocalAddr().(*net.UDPAddr).AddrPort(), sender: xxhash.Sum64String(cfg.Boot),
-		waiting: make(chan Hint, maxWaiting), limit: rate.NewLimiter(bytesPerSecond, 2*bytesPerSecond),
+		waiting: make(chan Hint, maxWaiting), limit: rate.NewLimiter(bytesPerSecond, burstBytes),
 		hints: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "clementinetray_hints_total",
-			Help: "Hints between entry instances, by what became of them: sent, received, dropped for the limit of bytes, refused as not authentic.",
+			Help: "Hints between entry instances, by what became of them: sent, received, withheld for the limit of bytes, dropped, refused as not authentic.",
 		}, []string{"outcome"}),
 	}
 	return e, Error.Wrap(cfg.Registerer.Register(e.hints))
@@ -123,25 +125,43 @@
 // Address returns the address of the socket.
 func (e *Exchange) Address() string { return e.own.String() }
 
-// TellWork tells the other instances of the unread work of this one at a backend server.
-func (e *Exchange) TellWork(server uint64, tokens float64) {
-	e.tell(Hint{Work: &Work{Server: server, Tokens: uint32(min(max(tokens, 0), 1<<31))}})
+// TellWork tells the other instances of the unread work of this one at a backend server. more says that it grew. It returns
+// false when that is not told, for want of bytes; the hint that it shrank again is paid for together with that it grew, as a
+// backend server would be avoided for work that has ended.
+func (e *Exchange) TellWork(server uint64, tokens float64, more bool) bool {
+	members := len(e.cfg.Members())
+	if more && !e.afford(2*members*(headSize+workSize+macSize+packetOverhead)) {
+		return false
+	}
+	return e.tell(Hint{Work: &Work{Server: server, Tokens: uint32(min(max(tokens, 0), 1<<31))}})
 }
 
-// TellSessions tells the other instances of sessions that go on while a roll-out begins.
+// TellSessions tells the other instances of sessions that go on while a roll-out begins. Roll-outs are rare, so that these
+// hints are sent beyond the limit of bytes.
 func (e *Exchange) TellSessions(rollout uint64, hashes []uint64) {
 	for some := range slices.Chunk(hashes, MaxSessions) {
 		e.tell(Hint{Sessions: &Sessions{Rollout: rollout, Hashes: some}})
 	}
 }
 
+// afford takes bytes from what may be sent. What is over the burst is taken as the burst.
+func (e *Exchange) afford(bytes int) bool {
+	if e.limit.AllowN(time.Now(), min(bytes, burstBytes)) {
+		return true
+	}
+	e.hints.WithLabelValues("withheld").Inc()
+	return false
+}
+
 // tell never waits: a hint that can't be sent soon is dropped.
-func (e *Exchange) tell(h Hint) {
+func (e *Exchange) tell(h Hint) bool {
 	h.Sender, h.Sequence = e.sender, e.sequence.Add(1)
 	select {
 	case e.waiting <- h:
+		return true
 	default:
 		e.hints.WithLabelValues("dropped").Inc()
+		return false
 	}
 }
 
@@ -169,12 +189,8 @@
 }
 
 func (e *Exchange) broadcast(h Hint) {
-	members, datagram := e.cfg.Members(), e.encode(h)
-	if !e.limit.AllowN(time.Now(), min((len(datagram)+packetOverhead)*len(members), 2*bytesPerSecond)) {
-		e.hints.WithLabelValues("dropped").Inc()
-		return
-	}
-	for _, member := range members {
+	datagram := e.encode(h)
+	for _, member := range e.cfg.Members() {
 		address, err := netip.ParseAddrPort(member)
 		if err != nil || address == e.own {
 			continue
--- a/server/gossip/gossip_test.go
+++ b/server/gossip/gossip_test.go
@@ -48,7 +48,7 @@
 		a, own := start("a", "one secret of the site")
 		_, b := start("b", "one secret of the site")
 		_, c := start("c", "one secret of the site")
-		a.TellWork(7, 50_000)
+		a.TellWork(7, 50_000, true)
 		for _, heard := range []chan Hint{b, c} {
 			var h Hint
 			Eventually(heard).Should(Receive(&h))
@@ -77,7 +77,7 @@
 	It("are not taken from a stranger or damaged (guards against load that somebody made up)", func() {
 		stranger, _ := start("x", "another secret, not ours")
 		b, heard := start("b", "one secret of the site")
-		stranger.TellWork(7, 50_000)
+		stranger.TellWork(7, 50_000, true)
 		conn, err := net.Dial("udp", b.Address())
 		Expect(err).NotTo(HaveOccurred())
 		defer func() { _ = conn.Close() }()
@@ -97,13 +97,18 @@
 			members = append(members, "127.0.0.1:9")
 		}
 		mu.Unlock()
-		started := time.Now()
+		started, told := time.Now(), 0
 		for n := range 1000 {
-			a.TellWork(uint64(n), 50_000)
+			if a.TellWork(uint64(n), 50_000, true) {
+				told++
+			}
 		}
 		Expect(time.Since(started)).To(BeNumerically("<", time.Second))
+		const pair = 2 * 409 * (headSize + workSize + macSize + packetOverhead)
+		Expect(told).To(BeNumerically("<=", (burstBytes+bytesPerSecond)/pair+1))
+		Expect(a.TellWork(1, 0, false)).To(BeTrue(), "the end of what was told is told too")
 		Eventually(func() int { return len(a.waiting) }).Should(BeZero())
-		Expect(testutil.ToFloat64(a.hints.WithLabelValues("sent"))).To(BeNumerically("<=", 2*bytesPerSecond/(409*(headSize+workSize+macSize+packetOverhead))+1))
+		Eventually(func() float64 { return testutil.ToFloat64(a.hints.WithLabelValues("sent")) }).Should(BeNumerically("==", told+1))
 	})
 })
 
--- a/standin/emulator/placement.go
+++ b/standin/emulator/placement.go
@@ -91,7 +91,7 @@
 		if !hints {
 			continue
 		}
-		t.TellWith(func(server uint64, tokens float64) {
+		t.TellWith(func(server uint64, tokens float64, _ bool) bool {
 			sequence++
 			told := sequence
 			for j, other := range p.trackers {
@@ -99,6 +99,7 @@
 					other.Hear(epoch.Add(p.now), uint64(i), told, server, tokens)
 				}
 			}
+			return true
 		})
 	}
 	return p
