--- a/api/catalogue/route.go
+++ b/api/catalogue/route.go
@@ -80,7 +80,8 @@
 	CostPerThousandTokens float64 `json:"cost_per_thousand_tokens"`
 }
 
-// CallerLimits bound what callers may send. A zero stands for the defaults of the settings.
+// CallerLimits bound what callers may send. A zero stands for the settings or, where they have none, for the defaults of the
+// listeners.
 type CallerLimits struct {
 	MaxHeaderBytes int `json:"max_header_bytes,omitempty"`
 	MaxBodyBytes   int `json:"max_body_bytes,omitempty"`
--- a/server/daemon/entry.go
+++ b/server/daemon/entry.go
@@ -15,7 +15,7 @@
 	"clementinetray/server/controlclient"
 	"clementinetray/server/entry"
 	"clementinetray/server/fleet"
-	"clementinetray/server/gossip"
+	"clementinetray/server/hints"
 	"clementinetray/server/limits"
 	"clementinetray/server/ratings"
 	"clementinetray/server/retry"
@@ -71,9 +71,9 @@
 // exchangeHints exchanges hints with the other entry instances. Without the socket, requests are placed by what backend
 // servers state alone, and sessions that change the entry instance may change their software version.
 func (d *daemon) exchangeHints(ctx context.Context) {
-	exchange, err := gossip.Listen(gossip.Config{
+	exchange, err := hints.Listen(hints.Config{
 		Address: d.Peers.Address(), Boot: d.Member.Boot, Secret: d.Secret, Members: d.memberAddresses,
-		Heard: func(h gossip.Hint) {
+		Heard: func(h hints.Hint) {
 			if h.Work != nil {
 				d.handler.HearWork(h.Sender, h.Sequence, h.Work.Server, float64(h.Work.Tokens))
 			}
--- a/server/gossip/gossip.go
+++ b/server/hints/hints.go
@@ -1,8 +1,8 @@
-// Package gossip passes hints between entry instances: of each other's long prompts, and of sessions that must stay on a
+// Package hints passes hints between entry instances: of each other's long prompts, and of sessions that must stay on a
 // software version. What a backend server states of its load is late and counts requests, not their size: without hints, each
 // instance learns of another one's long prompt by the requests that it lost behind it. Hints are datagrams that may be lost,
 // repeated and late; they only improve decisions.
-package gossip
+package hints
 
 import (
 	"context"
@@ -24,7 +24,7 @@
 )
 
 // Error is the class of all errors of this package.
-var Error = errs.Class("gossip")
+var Error = errs.Class("hints")
 
 // Hint is one message to all other entry instances. One of Work and Sessions is set.
 type Hint struct {
@@ -274,7 +274,7 @@
 // or names a start that is over.
 func (e *Exchange) mac(hint []byte) []byte {
 	h := hmac.New(sha256.New, e.cfg.Secret)
-	h.Write([]byte("gossip"))
+	h.Write([]byte("hints"))
 	h.Write(hint)
 	return h.Sum(nil)[:macSize]
 }
--- a/server/gossip/gossip_test.go
+++ b/server/hints/hints_test.go
@@ -1,4 +1,4 @@
-package gossip
+package hints
 
 import (
 	"context"
@@ -14,9 +14,9 @@
 	"github.com/prometheus/client_golang/prometheus/testutil"
 )
 
-func TestGossip(t *testing.T) {
+func TestHints(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "gossip")
+	RunSpecs(t, "hints")
 }
 
 var _ = Describe("hints", func() {
--- a/server/rollout/service_judge.go
+++ b/server/rollout/service_judge.go
@@ -82,7 +82,7 @@
 // schedule says from which shares of its time limit on, in percent, a roll-out does what.
 type schedule struct {
 	// all is from when on all requests go to the new version, done from when on a version without faults has succeeded. Between
-	// them, streams end on the old version; what is left after done covers the commit and the operator's question.
+	// them, streams end on the old version.
 	all, done int
 }
 
@@ -93,8 +93,8 @@
 	bound := 100 * exposure * exposureMargin
 	// Solves small*(all-opensAfter) + (100-all) = bound.
 	all := int(math.Ceil((100 - small*opensAfter - bound) / (1 - small)))
-	all = min(max(all, settledAfter), 100-2*switchTime)
-	return schedule{all: all, done: all + switchTime}
+	all = min(max(all, settledAfter), latestAll)
+	return schedule{all: all, done: min(all+switchTime, latestDone)}
 }
 
 const (
@@ -104,8 +104,11 @@
 	// settledAfter is the share of the time limit, in percent, from which on sessions may move to the new version.
 	settledAfter = 50
 	// switchTime is the share, in percent, for which all requests go to the new version before it has succeeded: of the shortest
-	// roll-outs, 16 s, it is 0.8 s.
+	// roll-outs, 16 s, it is 0.8 s. latestAll and latestDone leave 0.6 s of those for the switch, and as much for the commit and
+	// the operator's question.
 	switchTime = 5
+	latestAll  = 92
+	latestDone = 96
 	// exposureMargin covers load that differs over the time of a roll-out.
 	exposureMargin = 0.95
 	// minServiceRequests is the number of requests that a version must have served to succeed.
--- a/server/rollout/service_test.go
+++ b/server/rollout/service_test.go
@@ -95,6 +95,9 @@
 // that is bad under a load which the day does not have.
 func TestStepsBoundTheExposure(t *testing.T) {
 	const perSecond, reaction, never = 33.0, 2 * time.Second, time.Hour
+	if tight := scheduleFor(0.12); tight.all != 92 || tight.done != 96 {
+		t.Errorf("the schedule for 12%% is %+v", tight)
+	}
 	for _, c := range []struct {
 		limit    time.Duration
 		exposure float64
