Ask another backend server when one says nothing

Ruled out: engines that queue, as other requests at the same servers were answered within 0.2 s. Change: the placement says how long the first byte may take, twice what prompt, queue and slowness of the server suggest, and nothing for busy or cold servers. After that, a request that may be repeated goes elsewhere, within its attempts and half of the retry budget.

--- a/server/entry/dispatch.go
+++ b/server/entry/dispatch.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"clementinetray/api/control"
 	"clementinetray/api/problem"
 )
@@ -39,6 +41,8 @@
 	failCrossed   failureKind = "crossed"
 	// failUnsure is an answer that was dropped because a larger model will do better.
 	failUnsure failureKind = "unsure"
+	// failSilent is an attempt without a byte of the answer when the patience was over.
+	failSilent failureKind = "silent"
 )
 
 // attemptError is the end of an attempt without a whole answer.
@@ -112,7 +116,9 @@
 	if out.fresh {
 		transport = h.fresh
 	}
+	heard := x.limitSilence(placed.patience)
 	x.response, err = transport.RoundTrip(r)
+	heard()
 	if err != nil {
 		return x, x.broken(err)
 	}
@@ -127,6 +133,28 @@
 	return x, nil
 }
 
+// errSilent ends an attempt whose backend server said nothing for too long.
+var errSilent = errs.Class("silent backend server")
+
+// silentShare is the part of the retry budget that silent backend servers may use up: most of them are only slow, and failures
+// need the rest.
+const silentShare = 0.5
+
+// limitSilence ends the attempt when its backend server says nothing for the given time, another attempt is allowed and the
+// retry budget has room; it takes the attempt from the budget. The returned function ends the wait.
+func (x *exchange) limitSilence(patience time.Duration) (heard func()) {
+	if patience <= 0 || x.rq.tries >= x.rq.maxTries() {
+		return func() {}
+	}
+	budget := x.h.routedBudget(x.rq.routed.service)
+	timer := time.AfterFunc(patience, func() {
+		if budget.TryShare(time.Now(), silentShare) {
+			x.cancel(errSilent.New("no answer for %s", patience))
+		}
+	})
+	return func() { timer.Stop() }
+}
+
 // oneShotBody is sent once. The transport repeats requests without a body, or with one that it can get again, by itself.
 type oneShotBody struct{ *bytes.Reader }
 
@@ -185,6 +213,8 @@
 	switch {
 	case errRestarted.Has(cause):
 		f.err, f.died = cause, true
+	case errSilent.Has(cause):
+		f.kind, f.err = failSilent, cause
 	case errors.Is(cause, context.DeadlineExceeded):
 		f.kind = failTimeout
 	case x.ctx.Err() != nil:
--- a/server/entry/place.go
+++ b/server/entry/place.go
@@ -20,6 +20,8 @@
 	server *control.BackendServer
 	// begun notes that the first byte of the answer came; nil when nobody counts that.
 	begun func()
+	// patience is how long the first byte may take before another backend server is asked; 0: as long as the request may.
+	patience time.Duration
 	// release gives back slots and the running count. It may be called more than once.
 	release func()
 }
--- a/server/entry/routed_outcome.go
+++ b/server/entry/routed_outcome.go
@@ -36,7 +36,7 @@
 // countRoutedFailure counts a failure of the software: an answer that says so or none in time. A broken connection says more
 // of the machine, and there is one for each request that runs on a backend server that crashes.
 func (h *Handler) countRoutedFailure(rq *request, server *control.BackendServer, f *attemptError) {
-	if f.kind != failStatus && f.kind != failTimeout || f.notRun {
+	if f.kind != failStatus && f.kind != failTimeout && f.kind != failSilent || f.notRun {
 		return
 	}
 	h.outcomes.update(routedKey(rq, server), func(c *control.Outcome) {
--- a/server/entry/routed_place.go
+++ b/server/entry/routed_place.go
@@ -50,7 +50,11 @@
 		return nil, problem.New(problem.Overloaded, "each backend server of "+call.service+" is full").After(time.Second)
 	}
 	h.logPlacement(rq, server, &candidates[best], len(candidates), snap)
-	return h.holdPlace(rq, server, size, candidates[best].ColdRate), nil
+	placed := h.holdPlace(rq, server, size, candidates[best].ColdRate)
+	if call.route.Repeatable() {
+		placed.patience = balance.Patience(size, &candidates[best], call.route.Target())
+	}
+	return placed, nil
 }
 
 // TellWorkWith makes the handler pass on how much unread prompt work it has at each backend server.
--- a/server/entry/routed_run.go
+++ b/server/entry/routed_run.go
@@ -154,6 +154,8 @@
 		return problem.New(problem.OutcomeUnknown, "the backend server did not answer; the request may have run")
 	case rq.tries >= rq.maxTries():
 		return problem.New(problem.BackendFailed, "each attempt failed, the last one with: "+string(f.kind))
+	case f.kind == failSilent:
+		// The budget is taken already.
 	case !h.routedBudget(call.service).TryRetry(now):
 		return problem.New(problem.RetryBudgetExceeded, "the attempt failed with: "+string(f.kind))
 	}
--- a/server/entry/routed_test.go
+++ b/server/entry/routed_test.go
@@ -138,6 +138,33 @@
 		Entry("silence ends at the route's time limit", catalogue.Route{Kind: catalogue.KindOnce, TimeLimitMillis: 300}, hang, http.StatusGatewayTimeout, false, 1),
 	)
 
+	// Guards against callers that wait for a lost answer until their time is over, and against a request that runs twice though
+	// it must not.
+	DescribeTable("a backend server that says nothing",
+		func(route catalogue.Route, wantStatus int) {
+			var calls atomic.Int64
+			serve := func(w http.ResponseWriter, r *http.Request) {
+				if calls.Add(1) == 1 {
+					hang(w, r)
+					return
+				}
+				echo(http.StatusOK, "well")(w, r)
+			}
+			route.TimeLimitMillis, route.TargetMillis = 1500, 100
+			s := routedSite(route, newBackend("b1", serve), newBackend("b2", serve))
+			started := time.Now()
+			Expect(send(s.request("POST", "/r/x", "body")).status).To(Equal(wantStatus))
+			if wantStatus == http.StatusOK {
+				Expect(time.Since(started)).To(BeNumerically("<", time.Second))
+			} else {
+				Expect(calls.Load()).To(BeEquivalentTo(1))
+			}
+		},
+		Entry("is left for another one where the request may be repeated", idempotent, http.StatusOK),
+		Entry("is waited for where the request may run once", once, http.StatusGatewayTimeout),
+		Entry("is waited for when no other attempt is allowed", catalogue.Route{Kind: catalogue.KindIdempotent, MaxAttempts: 1}, http.StatusGatewayTimeout),
+	)
+
 	// Guards against requests that fail because the first backend servers are gone, though nothing reached them and another one
 	// is well.
 	It("does not count a backend server that it can't connect to as an attempt", func() {
