--- a/server/replica/transport.go
+++ b/server/replica/transport.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -369,7 +370,13 @@
 	return address, address != ""
 }
 
+// learnAddress notes where a node says that it can be reached. Where the settings name all replicas, their addresses hold: the
+// way to a replica may lead over a forwarder that the replica itself does not know.
 func (r *Replica) learnAddress(node raft.NodeID, address string) {
+	id, _, _ := strings.Cut(string(node), "/")
+	if stated := r.cfg.Members[id]; stated != "" && r.cfg.GroupSize == 0 {
+		address = stated
+	}
 	r.addressMu.Lock()
 	defer r.addressMu.Unlock()
 	r.addresses[node] = address
--- a/server/replica/transport_test.go
+++ b/server/replica/transport_test.go
@@ -109,3 +109,20 @@
 		t.Fatalf("the leader's address is %q, known %t", address, ok)
 	}
 }
+
+// Guards against a way around the forwarders that the settings name for each replica.
+func TestAddressesOfTheSettingsHold(t *testing.T) {
+	r := &Replica{cfg: Config{Members: map[string]string{"c1": "10.0.0.1:1"}}, addresses: map[raft.NodeID]string{}}
+	r.learnAddress("c1/GENERATION", "10.9.9.9:9")
+	r.learnAddress("c4/GENERATION", "10.9.9.9:9")
+	for node, want := range map[raft.NodeID]string{"c1/GENERATION": "10.0.0.1:1", "c4/GENERATION": "10.9.9.9:9"} {
+		if got, _ := r.address(node); got != want {
+			t.Errorf("%s is reached at %q, want %q", node, got, want)
+		}
+	}
+	r.cfg.GroupSize = 3
+	r.learnAddress("c1/GENERATION", "10.9.9.9:9")
+	if got, _ := r.address("c1/GENERATION"); got != "10.9.9.9:9" {
+		t.Errorf("with seeds, a replica is reached at %q and not where it says", got)
+	}
+}
