--- a/server/balance/balance.go
+++ b/server/balance/balance.go
@@ -4,7 +4,6 @@
 package balance
 
 import (
-	"cmp"
 	"encoding/binary"
 	"math"
 	"slices"
@@ -35,6 +34,9 @@
 	Zone string
 }
 
+// work returns the part of the prompt that is not cached, in tokens of the slowest model.
+func (r *Request) work(cached int) float64 { return float64(r.PromptTokens-cached) * r.Pace }
+
 // Candidate is one backend server as this entry instance knows it now.
 type Candidate struct {
 	ID, Zone string
@@ -105,8 +107,7 @@
 }
 
 func score(c *Candidate, r *Request, home bool) float64 {
-	work := float64(r.PromptTokens-c.CachedTokens) * r.Pace
-	s := c.Pressure() + work/queueScale + c.Doubt*doubtCost + slownessCost*math.Log2(max(c.Slowness, 1))
+	s := c.Pressure() + r.work(c.CachedTokens)/queueScale + c.Doubt*doubtCost + slownessCost*math.Log2(max(c.Slowness, 1))
 	if c.Zone != r.Zone {
 		s += otherZoneCost
 	}
@@ -253,13 +254,3 @@
 	Running, Waiting, Slots int
 	At                      time.Time
 }
-
-// sortedKeys returns the keys of a map in order.
-func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
-	keys := make([]K, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
--- a/server/balance/patience.go
+++ b/server/balance/patience.go
@@ -25,7 +25,7 @@
 	if r.PromptTokens == 0 {
 		return time.Duration(plainPatience * slowness * float64(target))
 	}
-	work := float64(r.PromptTokens-c.CachedTokens)*r.Pace + c.Queue
-	expected := firstByte + time.Duration(work/readRate*float64(time.Millisecond))
+	unread := r.work(c.CachedTokens) + c.Queue
+	expected := firstByte + time.Duration(unread/readRate*float64(time.Millisecond))
 	return time.Duration(patienceFactor * slowness * float64(expected))
 }
--- a/server/balance/tracker.go
+++ b/server/balance/tracker.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -168,7 +169,7 @@
 
 func (t *Tracker) dropOldest() {
 	oldest := ""
-	for _, id := range sortedKeys(t.servers) {
+	for _, id := range slices.Sorted(maps.Keys(t.servers)) {
 		if s := t.servers[id]; s.running == 0 && (oldest == "" || s.used.Before(t.servers[oldest].used)) {
 			oldest = id
 		}
@@ -182,9 +183,13 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	out := make([]Candidate, 0, len(rows))
-	mean, keys := t.meanLatency(now, rows), partKeys(r)
-	for _, row := range rows {
-		s := t.get(row.ID, now)
+	servers := make([]*server, len(rows))
+	for i := range rows {
+		servers[i] = t.get(rows[i].ID, now)
+	}
+	mean, keys := meanLatency(servers), partKeys(r)
+	for i, row := range rows {
+		s := servers[i]
 		c := Candidate{
 			ID: row.ID, Zone: row.Zone, Hash: s.hash, Load: s.load(now, row.Slots), Queue: s.queue(now, t.meanWork), Slowness: 1,
 			CachedTokens: s.cached(now, r, keys), Gap: s.recentGap(now),
@@ -204,10 +209,10 @@
 }
 
 // meanLatency is the mean over the servers that answered often enough, without the slowest one.
-func (t *Tracker) meanLatency(now time.Time, rows []Row) float64 {
+func meanLatency(servers []*server) float64 {
 	sum, slowest, n := 0.0, 0.0, 0
-	for _, row := range rows {
-		if s := t.get(row.ID, now); s.answers >= minLatencies {
+	for _, s := range servers {
+		if s.answers >= minLatencies {
 			sum += s.latency
 			slowest = max(slowest, s.latency)
 			n++
@@ -267,7 +272,7 @@
 	s := t.get(id, now)
 	s.running++
 	keys := partKeys(r)
-	work := float64(r.PromptTokens-s.cached(now, r, keys)) * r.Pace
+	work := r.work(s.cached(now, r, keys))
 	s.queued += work
 	s.waiting++
 	t.meanWork += latencyWeight * (work - t.meanWork)
--- a/server/entry/chat.go
+++ b/server/entry/chat.go
@@ -182,7 +182,7 @@
 	if p := h.limitWorkspace(rq); p != nil {
 		return p
 	}
-	if p := h.checkQuarantine(rq); p != nil {
+	if p := h.checkQuarantine(rq, control.QuarantineCrashes); p != nil {
 		return p.Unrun()
 	}
 	return nil
--- a/server/entry/crashes.go
+++ b/server/entry/crashes.go
@@ -79,14 +79,14 @@
 	return 0
 }
 
-// checkQuarantine refuses a request that crashed too many backend servers and notes the crashes of the others.
-func (h *Handler) checkQuarantine(rq *request) *problem.Problem {
+// checkQuarantine refuses a request that crashed at least limit backend servers and notes the crashes of the others.
+func (h *Handler) checkQuarantine(rq *request, limit int) *problem.Problem {
 	view := h.cfg.Board.View.Load()
 	rq.crashes = h.crashes.get(rq.fingerprint, time.Now())
 	if view.View != nil && view.Quarantine != nil {
 		rq.crashes = max(rq.crashes, view.Quarantine.Crashes[rq.fingerprint])
 	}
-	if rq.crashes >= control.QuarantineCrashes {
+	if rq.crashes >= limit {
 		return quarantined()
 	}
 	return nil
--- a/server/entry/routed_crash.go
+++ b/server/entry/routed_crash.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"clementinetray/api/control"
 	"clementinetray/api/problem"
 	"clementinetray/server/peer"
@@ -25,42 +23,30 @@
 	maxHarmless = 20_000
 )
 
-// harmless remembers requests that were answered whole, by a hash of what a repetition has in common.
+// harmless remembers the fingerprints of requests that were answered whole.
 type harmless struct {
 	mu sync.Mutex // guards at
-	at map[uint64]time.Time
+	at map[string]time.Time
 }
 
-func newHarmless() *harmless { return &harmless{at: map[uint64]time.Time{}} }
+func newHarmless() *harmless { return &harmless{at: map[string]time.Time{}} }
 
-func (s *harmless) add(key uint64, now time.Time) {
+func (s *harmless) add(print string, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.at) >= maxHarmless {
 		clear(s.at)
 	}
-	s.at[key] = now
+	s.at[print] = now
 }
 
-func (s *harmless) has(key uint64, now time.Time) bool {
+func (s *harmless) has(print string, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	at, ok := s.at[key]
+	at, ok := s.at[print]
 	return ok && now.Sub(at) <= harmlessFor
 }
 
-// repetitionKey is a hash of what a repetition of the request has in common with it.
-func (rq *request) repetitionKey() uint64 {
-	h := xxhash.New()
-	for _, part := range []string{rq.workspaceName(), rq.routed.method, rq.routed.target} {
-		// Writes to a hash never fail.
-		_, _ = h.WriteString(part)
-		_, _ = h.Write([]byte{0})
-	}
-	_, _ = h.Write(rq.routed.body)
-	return h.Sum64()
-}
-
 // setFingerprint names the request for the whole fleet. It is done only where crashes are known or to be reported.
 func (rq *request) setFingerprint() {
 	if rq.fingerprint == "" {
@@ -75,23 +61,16 @@
 		return nil
 	}
 	rq.setFingerprint()
-	rq.crashes = h.crashes.get(rq.fingerprint, time.Now())
-	if view.View != nil && view.Quarantine != nil {
-		rq.crashes = max(rq.crashes, view.Quarantine.Crashes[rq.fingerprint])
-	}
-	if rq.crashes >= routedCrashes {
-		return quarantined()
-	}
-	return nil
+	return h.checkQuarantine(rq, routedCrashes)
 }
 
 // noteCrash reports, without holding the request up, that a backend server died while it ran it. A connection that the
 // backend server closed for another reason says nothing of the request.
 func (h *Handler) noteCrash(rq *request, server *control.BackendServer) {
-	if h.harmless.has(rq.repetitionKey(), time.Now()) {
+	rq.setFingerprint()
+	if h.harmless.has(rq.fingerprint, time.Now()) {
 		return
 	}
-	rq.setFingerprint()
 	report := &control.ReportCrashRequest{Fingerprint: rq.fingerprint, BackendServer: server.ID, Boot: server.Boot, Request: rq.id}
 	h.stopped.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), h.cfg.ControlTimeout)
--- a/server/entry/routed_outcome.go
+++ b/server/entry/routed_outcome.go
@@ -18,7 +18,8 @@
 // countRoutedAnswer counts an attempt that was answered. first is the time to the answer or to the first event.
 func (h *Handler) countRoutedAnswer(x *exchange, first time.Duration) {
 	if !h.crashes.empty() {
-		h.harmless.add(x.rq.repetitionKey(), time.Now())
+		x.rq.setFingerprint()
+		h.harmless.add(x.rq.fingerprint, time.Now())
 	}
 	log := math.Log(max(float64(first.Microseconds())/1000, 1))
 	h.outcomes.update(routedKey(x.rq, x.server), func(c *control.Outcome) {
--- a/server/entry/routed_place.go
+++ b/server/entry/routed_place.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -33,7 +34,7 @@
 	}
 	pool := snap.View.Catalogue.PoolOf(call.service)
 	rq.chooseModel()
-	size := rq.size(pool.Engine)
+	size := rq.size(pool.Engine, call.model)
 	rows, servers := routableRows(snap, rq, h.boundVersion(rq, snap))
 	if len(rows) == 0 {
 		return nil, problem.New(problem.NoBackendServer, "no backend server takes work for "+call.service).After(time.Second)
@@ -140,19 +141,20 @@
 	return rows, servers
 }
 
-// size returns what the balance of backend servers needs to know of the request.
-func (rq *request) size(engine *catalogue.Engine) *balance.Request {
+// size returns what the balance of backend servers needs to know of the request when the router chooses the model; an empty
+// one leaves the caller's.
+func (rq *request) size(engine *catalogue.Engine, model string) *balance.Request {
 	c := rq.routed
-	rank, pace := paceOf(c, engine)
+	rank, pace := paceOf(c.route, engine, cmp.Or(model, c.Model))
 	return &balance.Request{
-		PromptTokens: c.PromptTokens, Model: c.model, Parts: c.Parts, Zone: rq.zone,
+		PromptTokens: c.PromptTokens, Model: model, Parts: c.Parts, Zone: rq.zone,
 		ModelRank: rank, Models: len(c.route.Models), Pace: pace,
 	}
 }
 
-// paceOf returns the position of the request's model among those of its route, and the time that the model takes as a share
+// paceOf returns the position of a model among those of the route, and the time that the model takes as a share
 // of that of the dearest one. Prices follow the time that models take closely enough.
-func paceOf(c *routedCall, engine *catalogue.Engine) (rank int, pace float64) {
+func paceOf(route *catalogue.Route, engine *catalogue.Engine, name string) (rank int, pace float64) {
 	if engine == nil {
 		return 0, 1
 	}
@@ -160,15 +162,11 @@
 	for _, m := range engine.Models {
 		dearest = max(dearest, m.CostPerThousandTokens)
 	}
-	name := c.model
-	if name == "" {
-		name = c.Model
-	}
 	model := engine.FindModel(name)
 	if model == nil || dearest <= 0 {
 		return 0, 1
 	}
-	return max(slices.Index(c.route.Models, name), 0), model.CostPerThousandTokens / dearest
+	return max(slices.Index(route.Models, name), 0), model.CostPerThousandTokens / dearest
 }
 
 // chooseModel decides for a first model when the route leaves that to the router: the smallest.
@@ -209,12 +207,8 @@
 	if p != nil {
 		return 0
 	}
-	call := *rq.routed
-	call.model = model
-	larger := *rq
-	larger.routed = &call
-	size := larger.size(snap.View.Catalogue.PoolOf(call.service).Engine)
-	rows, _ := routableRows(snap, &larger, h.boundVersion(rq, snap))
+	size := rq.size(snap.View.Catalogue.PoolOf(rq.routed.service).Engine, model)
+	rows, _ := routableRows(snap, rq, h.boundVersion(rq, snap))
 	return balance.Pressure(h.balance.Candidates(snap.Now, rows, size), size)
 }
 
--- a/server/entry/services.go
+++ b/server/entry/services.go
@@ -12,6 +12,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"clementinetray/api/catalogue"
+	"clementinetray/api/control"
 	"clementinetray/api/problem"
 )
 
@@ -96,7 +97,7 @@
 	if p := h.limitWorkspace(rq); p != nil {
 		return nil, p
 	}
-	if p := h.checkQuarantine(rq); p != nil {
+	if p := h.checkQuarantine(rq, control.QuarantineCrashes); p != nil {
 		return nil, p.Unrun()
 	}
 	return call, nil
