A full disk no longer ends a control process

Ruled out: retrying after a failed sync or an input/output error, whose outcome is unknown; both end the process as before.

The replica keeps quiet, gives up its proposals as unknown and tries again every 100 ms, so that the others elect a leader and go on.

--- a/server/replica/loop.go
+++ b/server/replica/loop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"clementinetray/server/raft"
+	"clementinetray/server/wal"
 )
 
 // maxDrain bounds the tasks that share one sync, so that ticks are not kept waiting.
@@ -91,7 +92,9 @@
 			break
 		}
 		if err := r.handle(rd); err != nil {
-			r.fail(err)
+			if !ErrStopped.Has(err) {
+				r.fail(err)
+			}
 			return false
 		}
 		r.node.Advance(rd)
@@ -108,7 +111,7 @@
 	for _, m := range rd.Early {
 		r.send(m)
 	}
-	if err := r.persist(rd); err != nil {
+	if err := r.persistWithRoom(rd); err != nil {
 		return err
 	}
 	for _, m := range rd.Messages {
@@ -124,6 +127,35 @@
 	return nil
 }
 
+// fullPause is the pause between two tries to write to a full disk, short beside an election.
+const fullPause = 100 * time.Millisecond
+
+// persistWithRoom waits while the disk is full. Until then this replica says nothing to the others, so that they elect another
+// leader and go on without it. It returns ErrStopped when the replica is stopped meanwhile.
+func (r *Replica) persistWithRoom(rd raft.Ready) error {
+	err := r.persist(rd)
+	if !wal.ErrFull.Has(err) {
+		return err
+	}
+	r.cfg.Logger.Error("disk_full", "folder", r.cfg.DataDir, "error", err.Error())
+	r.record(EventDiskFull, err.Error())
+	r.abandonProposals()
+	r.leadershipWriter.Publish(Leadership{Term: r.node.Term()})
+	since := time.Now()
+	for wal.ErrFull.Has(err) {
+		select {
+		case <-r.stopping:
+			return ErrStopped.New("replica %s, its disk is full", r.cfg.ID)
+		case <-time.After(fullPause):
+		}
+		err = r.persist(rd)
+	}
+	if err == nil {
+		r.cfg.Logger.Info("disk_has_room", "folder", r.cfg.DataDir, "full_for", time.Since(since))
+	}
+	return err
+}
+
 func (r *Replica) persist(rd raft.Ready) error {
 	if !rd.MustSync() {
 		return nil
@@ -264,7 +296,7 @@
 // maybeSnapshot asks for a snapshot when the log has grown enough.
 func (r *Replica) maybeSnapshot() {
 	threshold := max(r.cfg.CompactBytes, r.snapshotSize/4)
-	if r.snapshotting || r.storage.growth() < threshold || r.delivered <= r.node.State().Snapshot.Index {
+	if r.snapshotting || time.Now().Before(r.nextSnapshot) || r.storage.growth() < threshold || r.delivered <= r.node.State().Snapshot.Index {
 		return
 	}
 	r.snapshotting = true
@@ -275,13 +307,27 @@
 
 // saveSnapshot runs in the apply loop.
 func (r *Replica) saveSnapshot(meta raft.SnapshotMeta, data []byte) {
-	if err := r.storage.saveSnapshot(meta, data); err != nil {
+	err := r.storage.saveSnapshot(meta, data)
+	if wal.ErrFull.Has(err) {
+		_ = r.post(func() { r.postponeSnapshot(err) })
+		return
+	}
+	if err != nil {
 		r.fail(err)
 		return
 	}
 	_ = r.post(func() { r.compact(meta, len(data)) })
 }
 
+// snapshotPause is the pause before a snapshot that found no room is tried again.
+const snapshotPause = 5 * time.Second
+
+// postponeSnapshot keeps the log as it is while the disk is full.
+func (r *Replica) postponeSnapshot(full error) {
+	r.snapshotting, r.nextSnapshot = false, time.Now().Add(snapshotPause)
+	r.cfg.Logger.Warn("snapshot_postponed", "folder", r.cfg.DataDir, "error", full.Error())
+}
+
 // compact drops log entries that the snapshot covers. Some are kept, so that a replica that is only a little behind
 // gets entries in place of the snapshot.
 func (r *Replica) compact(meta raft.SnapshotMeta, size int) {
@@ -297,7 +343,13 @@
 		keepFrom--
 	}
 	r.node.Compact(meta, keepFrom)
-	if err := r.storage.checkpoint(r.node.State()); err != nil {
+	err := r.storage.checkpoint(r.node.State())
+	if wal.ErrFull.Has(err) {
+		// The log on the disk holds more than is needed until the next checkpoint.
+		r.postponeSnapshot(err)
+		return
+	}
+	if err != nil {
 		r.fail(err)
 		return
 	}
--- a/server/replica/replica.go
+++ b/server/replica/replica.go
@@ -31,6 +31,7 @@
 	EventNewGeneration     event.Kind = "replica_new_generation"
 	EventBootstrapped      event.Kind = "replica_group_bootstrapped"
 	EventFailed            event.Kind = "replica_failed"
+	EventDiskFull          event.Kind = "replica_disk_full"
 )
 
 // Replica is one member of the consensus group.
@@ -91,6 +92,8 @@
 	leadTerm, leadCommit uint64
 	snapshotting         bool
 	snapshotSize         int64
+	// nextSnapshot is when a snapshot may be tried again after the disk was full.
+	nextSnapshot time.Time
 }
 
 var _ Log = (*Replica)(nil)
@@ -200,7 +203,7 @@
 	})
 }
 
-// fail stops the replica. A storage failure is never retried, as what reached the disk is unknown.
+// fail stops the replica. A storage failure is never retried, as what reached the disk is unknown, but for a full disk.
 func (r *Replica) fail(err error) {
 	r.errMu.Lock()
 	first := r.err == nil
--- a/server/snapshot/snapshot.go
+++ b/server/snapshot/snapshot.go
@@ -78,7 +78,8 @@
 func fileName(index uint64) string { return fmt.Sprintf("%020d%s", index, suffix) }
 
 // Save makes the snapshot durable and removes older ones. A snapshot that is not newer than the stored one is ignored.
-// After an error each later call returns wal.ErrFailed.
+// It returns wal.ErrFull when there is no room: the newest one stays. After any other error each later call returns
+// wal.ErrFailed.
 func (s *Store) Save(snap Snapshot) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -89,7 +90,9 @@
 		return nil
 	}
 	name := fileName(snap.Index)
-	if err := wal.WriteFileAtomic(s.fs, filepath.Join(s.folder, name), header(snap), snap.Meta, snap.Data); err != nil {
+	if err := wal.WriteFileAtomic(s.fs, filepath.Join(s.folder, name), header(snap), snap.Meta, snap.Data); wal.ErrFull.Has(err) {
+		return err
+	} else if err != nil {
 		s.failed = wal.ErrFailed.New("write snapshot %s: %w", name, err)
 		return s.failed
 	}
--- a/server/wal/fs.go
+++ b/server/wal/fs.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"sort"
+	"syscall"
 
 	"github.com/zeebo/errs"
 	"golang.org/x/sys/unix"
@@ -153,7 +154,7 @@
 }
 
 // WriteFileAtomic writes a file so that it is either whole and durable under its name or not there: temporary file,
-// sync, rename, sync of the folder.
+// sync, rename, sync of the folder. It returns ErrFull when there is no room.
 func WriteFileAtomic(fs FS, name string, chunks ...[]byte) error {
 	f, err := createAtomic(fs, name, chunks...)
 	if err != nil {
@@ -165,12 +166,19 @@
 func createAtomic(fs FS, name string, chunks ...[]byte) (File, error) {
 	temporary := name + temporarySuffix
 	f, err := fs.Create(temporary)
+	if errors.Is(err, syscall.ENOSPC) {
+		return nil, ErrFull.New("create %s: %w", temporary, err)
+	}
 	if err != nil {
 		return nil, err
 	}
 	for _, chunk := range chunks {
 		if _, err := f.Write(chunk); err != nil {
-			return nil, errs.Combine(err, f.Close())
+			err = errs.Combine(err, f.Close(), fs.Remove(temporary))
+			if errors.Is(err, syscall.ENOSPC) {
+				return nil, ErrFull.New("write %s: %w", temporary, err)
+			}
+			return nil, err
 		}
 	}
 	if err := f.Sync(); err != nil {
