Count the time of a service's roll-out also while there is no control leader

Cause: the elapsed time of a roll-out was recorded once a second and went on from there under the next leader, so that the time without one was lost.

Change: entry instances keep how long each running roll-out has run (recorded time and their own clock since, suspensions included) and tell it in heartbeats; the leader goes on from the longest. A leader that has watched a version for less than 3 s no longer takes it for one without requests.

--- a/api/control/messages.go
+++ b/api/control/messages.go
@@ -89,7 +89,7 @@
 	// Order numbers the roll-outs of the service.
 	Order uint64 `json:"order"`
 	To    string `json:"to"`
-	// Seconds is the time limit, counted by the control leader's clock without the time between two leaders.
+	// Seconds is the time limit from the order on, also while there is no control leader.
 	Seconds int          `json:"seconds"`
 	State   RolloutState `json:"state"`
 	// Percent is the share of new sessions and requests for To.
@@ -331,7 +331,18 @@
 	Outcomes []Outcome
 	// Suspects lists backend servers that refused or reset a connection, or answered like cold ones.
 	Suspects []SuspectReport
-	Leaving  bool
+	// RolloutTimes says how long the running roll-outs of services have run.
+	RolloutTimes []RolloutTime
+	Leaving      bool
+}
+
+// RolloutTime is how long a roll-out of a service has run, as an entry instance knows it: what the control group recorded and the
+// time since then on the clock of the instance.
+type RolloutTime struct {
+	Service string
+	// Order is that of the ServiceRollout.
+	Order   uint64
+	Elapsed time.Duration
 }
 
 // SuspectReport says why an entry instance doubts a backend server.
--- a/server/controlsvc/contract.go
+++ b/server/controlsvc/contract.go
@@ -66,6 +66,12 @@
 	Load(t *control.RatingTable)
 }
 
+// RolloutTimeSink takes how long entry instances know roll-outs to have run (rollout.ServiceController). It is safe for concurrent
+// use.
+type RolloutTimeSink interface {
+	AddRolloutTimes(now time.Time, times []control.RolloutTime)
+}
+
 // OutcomeSink takes what entry instances report in heartbeats; counts were already checked against repetition.
 type OutcomeSink interface {
 	AddOutcomes(now time.Time, instance string, outcomes []control.Outcome)
--- a/server/controlsvc/rpc.go
+++ b/server/controlsvc/rpc.go
@@ -123,6 +123,9 @@
 			Detail: map[string]string{"member": in.Instance, "boot": in.Boot}})
 	}
 	s.FleetTable.Heartbeat(now, in.Member, in.Leaving)
+	if s.RolloutTimes != nil {
+		s.RolloutTimes.AddRolloutTimes(now, in.RolloutTimes)
+	}
 	if seen.fresh {
 		for _, sink := range s.OutcomeSinks {
 			sink.AddOutcomes(now, in.Instance, in.Outcomes)
--- a/server/controlsvc/service.go
+++ b/server/controlsvc/service.go
@@ -41,7 +41,7 @@
 	Call(ctx context.Context, address, method string, args, reply any) error
 }
 
-// Config holds what a Service needs. Every field but OutcomeSinks, LeaderControllers and Now is required.
+// Config holds what a Service needs. Every field but OutcomeSinks, RolloutTimes, LeaderControllers and Now is required.
 type Config struct {
 	Log   replica.Log
 	State *controlstate.State
@@ -51,6 +51,7 @@
 	FleetTable        FleetTable
 	Ratings           RatingTable
 	OutcomeSinks      []OutcomeSink
+	RolloutTimes      RolloutTimeSink
 	LeaderControllers []LeaderController
 	Recorder          event.Recorder
 	Clock             *event.Clock
--- a/server/daemon/control.go
+++ b/server/daemon/control.go
@@ -155,6 +155,7 @@
 	return controlsvc.New(controlsvc.Config{
 		Log: log, State: state, Proposer: proposer, Allocator: allocator, FleetTable: table, Ratings: quality,
 		OutcomeSinks:      []controlsvc.OutcomeSink{lives, rollouts, services, quality},
+		RolloutTimes:      services,
 		LeaderControllers: []controlsvc.LeaderController{lives, rollouts, services, quality, orders, fleetRecorder},
 		Recorder:          recorder, Clock: clock, Peers: pool, Identity: identity, PeerAddress: s.PeerAdvertise, Logger: logger,
 		ToleratedLosses: s.ToleratedLosses,
--- a/server/entry/handler.go
+++ b/server/entry/handler.go
@@ -44,6 +44,7 @@
 	bound   *boundSessions
 	// keptOld are the sessions that stay on an old version while a roll-out begins.
 	keptOld  *keptSessions
+	rollouts *rolloutTimes
 	budgetMu sync.Mutex // guards budgets
 	// budgets holds the retry budget of each service.
 	budgets map[string]*retry.Budget
@@ -82,7 +83,7 @@
 		bills: newBiller(&cfg, m), sessions: newSessionCache(cfg.SessionCache),
 		answers: newAnswerStore(cfg.AnswerRetention, cfg.AnswerMemory, m), queue: newWaitQueue(cfg.MaxWaiting, m),
 		outcomes: newOutcomeCounts(), latency: newLatencyWatch(), crashes: newCrashCache(), running: newRunningAttempts(),
-		balance: balance.NewTracker(), bound: newBoundSessions(), keptOld: newKeptSessions(), harmless: newHarmless(), budgets: map[string]*retry.Budget{},
+		balance: balance.NewTracker(), bound: newBoundSessions(), keptOld: newKeptSessions(), harmless: newHarmless(), rollouts: newRolloutTimes(), budgets: map[string]*retry.Budget{},
 		idle: make(chan struct{}), stop: stop,
 	}
 	h.slots = newSlotHolder(&h.cfg)
--- a/server/entry/watch.go
+++ b/server/entry/watch.go
@@ -9,6 +9,7 @@
 	"github.com/zeebo/errs"
 
 	"clementinetray/server/blackboard"
+	"clementinetray/server/clock"
 )
 
 // errRestarted is the cause of an attempt's end when its backend server has another boot number or is gone.
@@ -65,13 +66,15 @@
 	}
 }
 
-// watchFleet checks running attempts and wakes a waiting request whenever the fleet table changes.
+// watchFleet checks running attempts, notes how long roll-outs have run and wakes a waiting request whenever the fleet table
+// changes.
 func (h *Handler) watchFleet(ctx context.Context) {
 	poll := time.NewTicker(time.Second)
 	defer poll.Stop()
 	for {
 		fleet, changed := h.cfg.Board.Fleet.Watch()
 		h.sent.observe(&fleet)
+		h.rollouts.observe(h.cfg.Board.View.Load().View, time.Now(), clock.Asleep())
 		h.running.check(&fleet, time.Now())
 		h.suspects.keepOnly(func(id string) bool { return fleet.Servers[id] != nil })
 		select {
--- a/server/rollout/service.go
+++ b/server/rollout/service.go
@@ -17,6 +17,9 @@
 	serviceTick = 200 * time.Millisecond
 	// recordEvery is how often the elapsed time is recorded, so that a new leader goes on from it.
 	recordEvery = time.Second
+	// unseenFor is the time that a leader must have watched a version before it takes it for one without requests: entry
+	// instances report once a second.
+	unseenFor = 3 * time.Second
 	// maxSamples bounds the memory for samples: services with their versions and routes.
 	maxSamples = 4096
 )
@@ -34,8 +37,17 @@
 	recorder event.Recorder
 	log      *slog.Logger
 
-	mu      sync.Mutex // guards samples
+	mu      sync.Mutex // guards the fields below
 	samples map[sampleKey]*sample
+	// told holds the longest time that entry instances told for the roll-out of a service.
+	told map[string]toldTime
+}
+
+// toldTime is how long a roll-out had run at a time.
+type toldTime struct {
+	order   uint64
+	elapsed time.Duration
+	at      time.Time
 }
 
 // NewServiceController returns the controller. It does nothing until Run. exposure is the share of a service's requests within
@@ -43,6 +55,7 @@
 func NewServiceController(state State, proposer Proposer, exposure float64, recorder event.Recorder, log *slog.Logger) *ServiceController {
 	return &ServiceController{
 		state: state, proposer: proposer, plan: scheduleFor(exposure), recorder: recorder, log: log, samples: map[sampleKey]*sample{},
+		told: map[string]toldTime{},
 	}
 }
 
@@ -71,6 +84,30 @@
 // AddSuspects implements controlsvc.OutcomeSink; doubts about single backend servers say nothing of their software.
 func (c *ServiceController) AddSuspects(time.Time, string, []control.SuspectReport) {}
 
+// AddRolloutTimes takes how long an entry instance knows roll-outs to have run, which counts the time without a leader too.
+func (c *ServiceController) AddRolloutTimes(now time.Time, times []control.RolloutTime) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, t := range times {
+		known := c.told[t.Service]
+		if known.order > t.Order || known.order == t.Order && known.elapsed+now.Sub(known.at) >= t.Elapsed {
+			continue
+		}
+		c.told[t.Service] = toldTime{order: t.Order, elapsed: t.Elapsed, at: now}
+	}
+}
+
+// elapsed returns how long a roll-out has run: as this leader counts, or as it was told, whichever is longer.
+func (c *ServiceController) elapsed(r control.ServiceRollout, t *serviceTrial, now time.Time) time.Duration {
+	own := t.before + now.Sub(t.began)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if told := c.told[r.Service]; told.order == r.Order && !told.at.IsZero() {
+		return max(own, told.elapsed+now.Sub(told.at))
+	}
+	return own
+}
+
 // Run moves the running roll-outs until ctx ends. The time that a roll-out has run goes on from what was recorded.
 func (c *ServiceController) Run(ctx context.Context, _ uint64) error {
 	c.mu.Lock()
@@ -109,7 +146,11 @@
 // advance records the progress when something changed or the time is due.
 func (c *ServiceController) advance(ctx context.Context, r control.ServiceRollout, t *serviceTrial, now time.Time) {
 	served, reason := c.judge(r)
-	next := nextProgress(r, c.plan, t.before+now.Sub(t.began), served, reason)
+	next := nextProgress(r, c.plan, c.elapsed(r, t, now), served, reason)
+	if next.State == control.RolloutRolledBack && reason == "" && now.Sub(t.began) < unseenFor {
+		// A new leader has no counts yet.
+		next.State, next.Reason = control.RolloutRunning, r.Reason
+	}
 	due := next.ElapsedMillis-r.ElapsedMillis >= recordEvery.Milliseconds()
 	if next.State == r.State && next.Percent == r.Percent && next.Settled == r.Settled && !due {
 		return
--- a/server/rollout/service_test.go
+++ b/server/rollout/service_test.go
@@ -1,12 +1,16 @@
 package rollout
 
 import (
+	"context"
+	"log/slog"
 	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"clementinetray/api/control"
+	"clementinetray/api/event"
+	"clementinetray/server/controlstate"
 )
 
 // answers makes a sample of requests whose times to the first byte scatter around a typical one.
@@ -155,3 +159,54 @@
 		t.Fatalf("served %d, reason %q; want 108 and a reason", served, reason)
 	}
 }
+
+// recordedProgress is a state and proposer that keeps the last progress.
+type recordedProgress struct{ progress control.ServiceRollout }
+
+func (r *recordedProgress) View() *control.View {
+	return &control.View{Rollouts: &control.Rollouts{Services: map[string]control.ServiceRollout{r.progress.Service: r.progress}}}
+}
+
+func (r *recordedProgress) ProposeCommand(_ context.Context, c *controlstate.Command) (any, error) {
+	r.progress = c.AdvanceServiceRollout.Progress
+	return nil, nil
+}
+
+func (r *recordedProgress) Record(event.Event) {}
+
+// Guards against a good version that is late because the control group was away: the time without a leader counts, as entry
+// instances know it, and a new leader waits for its first counts before it takes a version for unused.
+func TestTimeWithoutALeaderCounts(t *testing.T) {
+	began := time.Now()
+	state := &recordedProgress{control.ServiceRollout{Service: "pool", Order: 2, To: "v2", Seconds: 20, State: control.RolloutRunning, ElapsedMillis: 1000}}
+	c := NewServiceController(state, state, 0.15, state, slog.New(slog.DiscardHandler))
+	trial := &serviceTrial{order: 2, before: time.Second, began: began}
+	at := func(after time.Duration) control.ServiceRollout {
+		c.advance(t.Context(), state.progress, trial, began.Add(after))
+		return state.progress
+	}
+	c.AddRolloutTimes(began, []control.RolloutTime{{Service: "pool", Order: 1, Elapsed: time.Hour}, {Service: "pool", Order: 2, Elapsed: 9 * time.Second}})
+	c.AddRolloutTimes(began, []control.RolloutTime{{Service: "pool", Order: 2, Elapsed: 8 * time.Second}})
+	if p := at(time.Second); p.ElapsedMillis != 10_000 || !p.Settled {
+		t.Errorf("progress after 10 s: %+v", p)
+	}
+	c.AddRolloutTimes(began.Add(time.Second), []control.RolloutTime{{Service: "pool", Order: 2, Elapsed: 20 * time.Second}})
+	if p := at(1200 * time.Millisecond); p.State != control.RolloutRunning || p.Percent != 100 {
+		t.Errorf("progress of a new leader without counts at the time limit: %+v", p)
+	}
+	c.AddOutcomes(began, "e1", []control.Outcome{{Service: "pool", SoftwareVersion: "v2", Requests: 9}})
+	if p := at(2 * time.Second); p.State != control.RolloutDone {
+		t.Errorf("progress with counts after the time limit: %+v", p)
+	}
+}
+
+// Guards against a version without any request that stays for ever.
+func TestUnusedVersionIsRolledBack(t *testing.T) {
+	began := time.Now()
+	state := &recordedProgress{control.ServiceRollout{Service: "pool", Order: 2, To: "v2", Seconds: 20, State: control.RolloutRunning}}
+	c := NewServiceController(state, state, 0.15, state, slog.New(slog.DiscardHandler))
+	c.advance(t.Context(), state.progress, &serviceTrial{order: 2, began: began}, began.Add(21*time.Second))
+	if state.progress.State != control.RolloutRolledBack {
+		t.Errorf("progress after the time limit: %+v", state.progress)
+	}
+}
--- a/server/syncer/heartbeat.go
+++ b/server/syncer/heartbeat.go
@@ -30,6 +30,8 @@
 	Suspects() []control.SuspectReport
 	// Slots returns the slots that are held now.
 	Slots() []control.Slot
+	// RolloutTimes returns how long the running roll-outs of services have run.
+	RolloutTimes() []control.RolloutTime
 }
 
 // Heartbeat reports to the control leader.
@@ -77,7 +79,7 @@
 	sent := time.Now()
 	request := *h.pending
 	request.Demand, request.Held = h.limits.Demand(sent), h.limits.Held(sent)
-	request.Slots, request.Leaving = h.reporter.Slots(), leaving
+	request.Slots, request.RolloutTimes, request.Leaving = h.reporter.Slots(), h.reporter.RolloutTimes(), leaving
 	reply, err := h.leader.Heartbeat(ctx, &request)
 	if err != nil {
 		h.logger.Warn("heartbeat failed", "error", err)
--- a/server/syncer/syncer_test.go
+++ b/server/syncer/syncer_test.go
@@ -121,6 +121,9 @@
 }
 func (*reporter) Suspects() []control.SuspectReport { return nil }
 func (*reporter) Slots() []control.Slot             { return nil }
+func (*reporter) RolloutTimes() []control.RolloutTime {
+	return []control.RolloutTime{{Service: "pool", Order: 1, Elapsed: time.Second}}
+}
 
 var _ = Describe("Heartbeat", func() {
 	It("sends unconfirmed counts again under the same sequence, so that a lost reply neither loses nor doubles them", func() {
@@ -134,5 +137,6 @@
 		Expect(l.seen[1].Outcomes).To(Equal(l.seen[0].Outcomes))
 		Expect(l.seen[2].Outcomes[0].Requests).To(Equal(2))
 		Expect(shares.applied).To(Equal(2))
+		Expect(l.seen[1].RolloutTimes).To(HaveLen(1))
 	})
 })
