Ask larger models by the pressure of the backend servers that are known

Cause: the pressure on the engines of a larger model was that of the least busy one as an instance sees it, and a backend server of which an instance knows nothing looks idle.

Change: the pressure is the first quarter of those of which the instance learned within 3 s. The test replays a large fleet and fails before: 82 of 82 instances asked a saturated pool for every doubtful answer.

--- a/server/balance/balance.go
+++ b/server/balance/balance.go
@@ -46,6 +46,8 @@
 	Load float64
 	// Queue is the estimated number of prompt tokens that wait to be read, in tokens of the slowest model.
 	Queue float64
+	// Known says that this entry instance learned lately how busy it is.
+	Known bool
 	// Gap is the typical time between two events of its streams lately, 0 when none is known.
 	Gap time.Duration
 	// Cold is true while it bears only a low rate; ColdReady says that this instance may send it one request now.
@@ -122,22 +124,27 @@
 	return c.Load + c.Queue/queueScale + float64(c.Gap)/float64(gapScale)
 }
 
-// Pressure returns the least pressure of the backend servers that run the request's model, 0 without any.
+// Pressure returns how busy the backend servers are that run the request's model: the pressure below which pressureShare of
+// those lie of which this instance knows, 0 without any. In a large fleet it knows of some only, and the others are as busy.
 func Pressure(candidates []Candidate, r *Request) float64 {
 	group := groupOf(candidates, r)
-	least, found := 0.0, false
+	var known []float64
 	for i := range candidates {
 		c := &candidates[i]
-		if !group.holds(c) || c.Cold && !c.ColdReady || c.Doubt > 0 {
-			continue
-		}
-		if p := c.Pressure(); !found || p < least {
-			least, found = p, true
+		if c.Known && group.holds(c) && c.Doubt == 0 && (!c.Cold || c.ColdReady) {
+			known = append(known, c.Pressure())
 		}
 	}
-	return least
+	if len(known) == 0 {
+		return 0
+	}
+	slices.Sort(known)
+	return known[len(known)*pressureShare/100]
 }
 
+// pressureShare is the share, in percent, of the backend servers with the least pressure that requests find among the others.
+const pressureShare = 25
+
 // Sureness returns the confidence from which on the answer of a smaller model is delivered. It falls as the larger models
 // get busy: a better answer that comes too late, and holds up others, is worth less than one that may do.
 func Sureness(sure int, pressure float64) int {
--- a/server/balance/balance_test.go
+++ b/server/balance/balance_test.go
@@ -116,6 +116,53 @@
 	}
 }
 
+// Guards against instances that take the backend servers of which they know nothing for idle. It replays a large fleet whose
+// engines are all as busy: each instance sends about two requests a second to a pool of 40 and sees what their answers state and
+// how far apart the events of their streams are.
+func TestPressureOfAPoolThatEachInstanceKnowsInPart(t *testing.T) {
+	const instances, servers, perSecond = 82, 40, 2
+	for _, busy := range []struct {
+		desc              string
+		running           int
+		gap               time.Duration
+		leastSure, atMost int
+	}{{"saturated", 32, 280 * time.Millisecond, 0, 20}, {"calm", 1, 30 * time.Millisecond, 55, 60}} {
+		rng := rand.New(rand.NewPCG(7, 8))
+		var rows []balance.Row
+		for i := range servers {
+			rows = append(rows, balance.Row{ID: fmt.Sprintf("s%02d", i), Zone: "a", Slots: 64})
+		}
+		request, strays := &balance.Request{Models: 3, ModelRank: 2, PromptTokens: 800, Pace: 1, Zone: "a"}, 0
+		for range instances {
+			tracker := balance.NewTracker()
+			for at := time.Duration(0); at < 5*time.Second; at += time.Second / perSecond {
+				now := start.Add(at)
+				server := rows[rng.IntN(servers)].ID
+				_, done := tracker.Sent(now, server, request, 0)
+				tracker.Observe(server, balance.Observation{Running: busy.running, Slots: 64, At: now})
+				for range 20 {
+					tracker.Paced(now, server, busy.gap)
+				}
+				done()
+			}
+			sure := balance.Sureness(60, balance.Pressure(tracker.Candidates(start.Add(5*time.Second), rows, request), request))
+			if sure < busy.leastSure || sure > busy.atMost {
+				strays++
+			}
+		}
+		if strays > instances/10 {
+			t.Errorf("%s: %d of %d instances ask for another confidence than from %d to %d", busy.desc, strays, instances, busy.leastSure, busy.atMost)
+		}
+	}
+}
+
+// Guards against a pressure that is made up while nothing is known.
+func TestPressureOfAnUnknownPool(t *testing.T) {
+	if p := balance.Pressure(pool(9), &balance.Request{Zone: "a"}); p != 0 {
+		t.Errorf("pressure %g of a pool of which nothing is known", p)
+	}
+}
+
 // Guards against a cold backend server that falls over because each instance keeps to its own rate only. It replays
 // instances that all have more requests than the cold server bears, and counts each span of a second.
 func TestColdRateHoldsOverAllInstances(t *testing.T) {
--- a/server/balance/tracker.go
+++ b/server/balance/tracker.go
@@ -12,6 +12,8 @@
 	// observationLife is the age at which a stated load counts half; heartbeats carry no load and answers come about once a
 	// second to each instance.
 	observationLife = 1500 * time.Millisecond
+	// knownFor is the age up to which a stated load or an event tells how busy a backend server is: it counts a third then.
+	knownFor = 2 * observationLife
 	// partLife is how long a part is taken to stay in an engine's memory after it was last read there.
 	partLife = 10 * time.Second
 	// maxParts bounds the parts that are remembered of one backend server.
@@ -192,7 +194,7 @@
 		s := servers[i]
 		c := Candidate{
 			ID: row.ID, Zone: row.Zone, Hash: s.hash, Load: s.load(now, row.Slots), Queue: s.queue(now, t.meanWork), Slowness: 1,
-			CachedTokens: s.cached(now, r, keys), Gap: s.recentGap(now),
+			CachedTokens: s.cached(now, r, keys), Gap: s.recentGap(now), Known: s.known(now),
 		}
 		if row.ColdFor > 0 {
 			c.Cold, c.ColdReady, c.ColdRate = true, row.ColdRate > 0 && s.cold.ready(now), row.ColdRate
@@ -208,6 +210,11 @@
 	return out
 }
 
+// known reports whether the server said lately how busy it is, in an answer or by the events of a stream.
+func (s *server) known(now time.Time) bool {
+	return now.Sub(s.seen.At) <= knownFor || now.Sub(s.paced) <= knownFor
+}
+
 // meanLatency is the mean over the servers that answered often enough, without the slowest one.
 func meanLatency(servers []*server) float64 {
 	sum, slowest, n := 0.0, 0.0, 0
