Avoid a backend server whose address another one has, and count no attempt for it

Cause: an answer of another backend server at the address (a restart under a new id, an address that was given away) neither made the old one doubtful nor was it left out of the attempts, so that request after request went there until the fleet table dropped it, and three such answers ended a request that no backend server had run.

Ruled out: dropping the row from the fleet table of this instance, as a late answer of a former server at a reused address would then end a good one.

Change: it is doubted like after other failures and takes no attempt; it still draws on the retry budget, as it arrives at a server. The spec fails before (503 with one attempt allowed).

--- a/server/entry/routed_run.go
+++ b/server/entry/routed_run.go
@@ -101,16 +101,13 @@
 // maxTries is the largest number of backend servers that the request may be sent to.
 func (rq *request) maxTries() int { return max(rq.routed.route.MaxAttempts, 1) }
 
-// doubtful reports whether the backend server is to be avoided for a while. The caller's leaving, the route's time limit and an
-// address that another backend server has now say nothing of it.
-func (e *attemptError) doubtful() bool {
-	switch e.kind {
-	case failCancelled, failTimeout:
-		return false
-	case failCrossed:
-		return !e.notRun
-	}
-	return true
+// doubtful reports whether the backend server is to be avoided for a while. The caller's leaving and the route's time limit say
+// nothing of it.
+func (e *attemptError) doubtful() bool { return e.kind != failCancelled && e.kind != failTimeout }
+
+// missed reports whether the attempt did not reach its backend server: nothing listens there, or another one has its address now.
+func (e *attemptError) missed() bool {
+	return e.kind == failDial && !e.wrote || e.kind == failCrossed && e.notRun
 }
 
 // afterRoutedFailure decides whether the request goes to another backend server, and returns the refusal when it does not.
@@ -141,10 +138,12 @@
 		return expired
 	}
 	rq.route.Exclude[server.ID] = true
-	if f.kind == failDial && !f.wrote {
-		// The backend server was not reached, so that this was no attempt. Each one is tried once.
+	if f.missed() {
+		// This was no attempt. Each backend server is tried once.
 		rq.tries--
-		return nil
+		if f.kind == failDial {
+			return nil
+		}
 	}
 	if f.kind == failBusy {
 		rq.busy = append(rq.busy, server.ID)
--- a/server/entry/routed_test.go
+++ b/server/entry/routed_test.go
@@ -165,6 +165,23 @@
 		Entry("is waited for when no other attempt is allowed", catalogue.Route{Kind: catalogue.KindIdempotent, MaxAttempts: 1}, http.StatusGatewayTimeout),
 	)
 
+	// Guards against requests that fail because other backend servers have the addresses of the first ones now, and against
+	// sending every request there until the fleet table says so.
+	It("does not count a backend server whose address another one has as an attempt, and avoids it", func() {
+		var misdirected atomic.Int64
+		moved := func(w http.ResponseWriter, r *http.Request) {
+			misdirected.Add(1)
+			w.Header().Set("Clementinetray-Not-Run", "1")
+			echo(http.StatusMisdirectedRequest, "")(w, r)
+		}
+		s := routedSite(catalogue.Route{Kind: catalogue.KindOnce, MaxAttempts: 1}, newBackend("b1", moved), newBackend("b2", moved),
+			newBackend("b3", moved), newBackend("b4", echo(http.StatusOK, "well")))
+		for range 20 {
+			Expect(send(s.request("POST", "/r/x", "body")).status).To(Equal(http.StatusOK))
+		}
+		Expect(misdirected.Load()).To(BeNumerically("<=", 3))
+	})
+
 	// Guards against requests that fail because the first backend servers are gone, though nothing reached them and another one
 	// is well.
 	It("does not count a backend server that it can't connect to as an attempt", func() {
