Pass a kept failure on at once when no other backend server is left

Ruled out: full servers, for which the wait stays. Change: no wait for a backend server of an empty pool when there is an answer. The spec fails before (0.7 s).

--- a/server/entry/routed_place.go
+++ b/server/entry/routed_place.go
@@ -244,6 +244,10 @@
 func (rq *request) waitLimit(began time.Time, reason problem.Reason) time.Time {
 	call := rq.routed
 	wait := time.Until(call.limit) / 2
+	if reason == problem.NoBackendServer && call.failure != nil {
+		// There is an answer, and nobody who could give a better one.
+		return began
+	}
 	if reason == problem.NoBackendServer {
 		return began.Add(min(max(wait, 0), maxServerWait))
 	}
--- a/server/entry/routed_test.go
+++ b/server/entry/routed_test.go
@@ -165,6 +165,16 @@
 		Entry("is waited for when no other attempt is allowed", catalogue.Route{Kind: catalogue.KindIdempotent, MaxAttempts: 1}, http.StatusGatewayTimeout),
 	)
 
+	// Guards against callers that wait for a backend server that does not exist though there is an answer for them.
+	It("passes a failure of the application on at once when no other backend server is left", func() {
+		s := routedSite(idempotent, newBackend("b1", echo(http.StatusInternalServerError, "sorry")))
+		started := time.Now()
+		got := send(s.request("POST", "/r/x", "body"))
+		Expect(got.status).To(Equal(http.StatusInternalServerError))
+		Expect(got.body).To(Equal("sorry"))
+		Expect(time.Since(started)).To(BeNumerically("<", 500*time.Millisecond))
+	})
+
 	// Guards against requests that fail because other backend servers have the addresses of the first ones now, and against
 	// sending every request there until the fleet table says so.
 	It("does not count a backend server whose address another one has as an attempt, and avoids it", func() {
