--- a/server/balance/balance.go
+++ b/server/balance/balance.go
@@ -142,7 +142,8 @@
 	return known[len(known)*pressureShare/100]
 }
 
-// pressureShare is the share, in percent, of the backend servers with the least pressure that requests find among the others.
+// pressureShare is the part of the known backend servers, in percent, that are less busy than the pressure of the pool: requests go
+// to one of the less busy ones, and rarely to the least busy of all.
 const pressureShare = 25
 
 // Sureness returns the confidence from which on the answer of a smaller model is delivered. It falls as the larger models
--- a/server/entry/routed_run.go
+++ b/server/entry/routed_run.go
@@ -144,6 +144,7 @@
 		if f.kind == failDial {
 			return nil
 		}
+		// The request arrived at another backend server, which the retry budget counts.
 	}
 	if f.kind == failBusy {
 		rq.busy = append(rq.busy, server.ID)
--- a/server/replica/loop.go
+++ b/server/replica/loop.go
@@ -127,7 +127,7 @@
 	return nil
 }
 
-// fullPause is the pause between two tries to write to a full disk, short beside an election.
+// fullPause is the pause between two tries to write to a full disk, a fifth of the default election timeout.
 const fullPause = 100 * time.Millisecond
 
 // persistWithRoom waits while the disk is full. Until then this replica says nothing to the others, so that they elect another
--- a/server/replica/replica.go
+++ b/server/replica/replica.go
@@ -203,7 +203,7 @@
 	})
 }
 
-// fail stops the replica. A storage failure is never retried, as what reached the disk is unknown, but for a full disk.
+// fail stops the replica. A storage failure other than a full disk is never retried, as what reached the disk is unknown.
 func (r *Replica) fail(err error) {
 	r.errMu.Lock()
 	first := r.err == nil
--- a/standin/measure/fanout_bench_test.go
+++ b/standin/measure/fanout_bench_test.go
@@ -31,9 +31,10 @@
 // idle reports nothing from an entry instance without requests.
 type idle struct{}
 
-func (idle) Outcomes() []control.Outcome       { return nil }
-func (idle) Suspects() []control.SuspectReport { return nil }
-func (idle) Slots() []control.Slot             { return nil }
+func (idle) Outcomes() []control.Outcome         { return nil }
+func (idle) Suspects() []control.SuspectReport   { return nil }
+func (idle) Slots() []control.Slot               { return nil }
+func (idle) RolloutTimes() []control.RolloutTime { return nil }
 
 // startNode runs the sync and heartbeat loops of one entry instance, with its own connections, until ctx ends.
 func startNode(ctx context.Context, b *testing.B, s *site.Site, n int) *blackboard.Board {
