--- a/server/replica/faults_test.go
+++ b/server/replica/faults_test.go
@@ -77,6 +77,10 @@
 	if took := time.Since(began); took > time.Second {
 		t.Errorf("a proposal on a full disk was held for %v", took)
 	}
+	c.eventually("the replica with the full disk does not lead", func() bool {
+		l, _ := full.LeadershipChanged()
+		return !l.Leader
+	})
 	c.eventually("another leader", func() bool {
 		for id, n := range c.nodes {
 			if l, _ := n.LeadershipChanged(); l.Leader && id != full.id {
