--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -45,6 +45,8 @@
 	CrashOn string
 	// CrashOnOverload kills the engine when more requests run than it bears.
 	CrashOnOverload bool
+	// Through returns the address to announce in place of the listener's, such as that of a forwarder; nil: the listener's.
+	Through func(address string) (string, error)
 	// AnnounceTo lists announcement listeners; one after the other is tried.
 	AnnounceTo    []string
 	AnnounceEvery time.Duration
@@ -54,6 +56,8 @@
 type Engine struct {
 	config   Config
 	listener *listener.Listener
+	// announced is the address that announcements name.
+	announced string
 
 	mu       sync.Mutex // guards the fields below
 	boot     int
@@ -106,7 +110,13 @@
 	if err != nil {
 		return nil, err
 	}
-	e.listener = l
+	e.listener, e.announced = l, l.Address()
+	if config.Through != nil {
+		if e.announced, err = config.Through(l.Address()); err != nil {
+			l.Kill()
+			return nil, Error.Wrap(err)
+		}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
 	go e.announceLoop(ctx)
@@ -294,7 +304,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return control.Announcement{
-		ID: e.config.ID, Address: e.listener.Address(), Boot: e.bootName(),
+		ID: e.config.ID, Address: e.announced, Boot: e.bootName(),
 		AvailabilityZone: e.config.AvailabilityZone, Region: e.config.Region,
 		Versions: e.versions, Service: e.config.Service,
 		Capacity: e.config.Capacity, ColdCapacity: e.config.ColdCapacity,
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -1,10 +1,14 @@
 // Package link is a stand-in for the network between two processes: a TCP forwarder whose directions can be cut
-// silently, so that neither end sees an error.
+// silently, so that neither end sees an error, and whose connections can be delayed, reset or silenced for good.
 package link
 
 import (
+	"maps"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/zeebo/errs"
 )
@@ -18,9 +22,30 @@
 	listener net.Listener
 	forth    gate
 	back     gate
+	// delay is added to each read of either direction, in nanoseconds.
+	delay  atomic.Int64
+	closed chan struct{}
 
-	mu    sync.Mutex // guards conns
-	conns []net.Conn
+	mu    sync.Mutex // guards flows
+	flows map[*flow]struct{}
+}
+
+// flow is one forwarded connection.
+type flow struct {
+	near, far net.Conn
+	// silent is closed when no byte shall pass any more.
+	silent  chan struct{}
+	silence sync.Once
+}
+
+// close ends both connections; reset makes the ends see a reset and not an orderly end.
+func (f *flow) close(reset bool) {
+	for _, c := range []net.Conn{f.near, f.far} {
+		if tcp, ok := c.(*net.TCPConn); ok && reset {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
 }
 
 // gate holds bytes back while it is shut.
@@ -35,7 +60,7 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	link := &Link{target: target, listener: l}
+	link := &Link{target: target, listener: l, closed: make(chan struct{}), flows: map[*flow]struct{}{}}
 	link.forth.set(true)
 	link.back.set(true)
 	go link.accept()
@@ -57,14 +82,42 @@
 // Heal lets both directions pass again. Bytes that were held back arrive late.
 func (l *Link) Heal() { l.forth.set(true); l.back.set(true) }
 
+// SetDelay holds each read of either direction back by d; 0 ends that.
+func (l *Link) SetDelay(d time.Duration) { l.delay.Store(int64(d)) }
+
+// Reset resets the connections that are open now.
+func (l *Link) Reset() {
+	for _, f := range l.open() {
+		f.close(true)
+	}
+}
+
+// Silence lets no byte pass any more on the connections that are open now; new ones work.
+func (l *Link) Silence() {
+	for _, f := range l.open() {
+		f.silence.Do(func() { close(f.silent) })
+	}
+}
+
+func (l *Link) open() []*flow {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Collect(maps.Keys(l.flows))
+}
+
 // Close ends the forwarder and its connections.
 func (l *Link) Close() {
 	_ = l.listener.Close()
 	l.Heal()
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, c := range l.conns {
-		_ = c.Close()
+	select {
+	case <-l.closed:
+	default:
+		close(l.closed)
+	}
+	l.mu.Unlock()
+	for _, f := range l.open() {
+		f.close(false)
 	}
 }
 
@@ -85,20 +138,35 @@
 		_ = near.Close()
 		return
 	}
+	f := &flow{near: near, far: far, silent: make(chan struct{})}
+	l.mu.Lock()
+	l.flows[f] = struct{}{}
+	l.mu.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { l.copyThrough(f, far, near, &l.forth) })
+	both.Go(func() { l.copyThrough(f, near, far, &l.back) })
+	both.Wait()
 	l.mu.Lock()
-	l.conns = append(l.conns, near, far)
+	delete(l.flows, f)
 	l.mu.Unlock()
-	go copyThrough(far, near, &l.forth)
-	copyThrough(near, far, &l.back)
 }
 
-func copyThrough(to, from net.Conn, g *gate) {
-	defer func() { _ = to.Close() }()
-	defer func() { _ = from.Close() }()
+func (l *Link) copyThrough(f *flow, to, from net.Conn, g *gate) {
+	defer f.close(false)
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
 		g.wait()
+		if d := l.delay.Load(); d > 0 {
+			time.Sleep(time.Duration(d))
+		}
+		select {
+		case <-f.silent:
+			// The bytes are lost, and so is the end of the connection.
+			<-l.closed
+			return
+		default:
+		}
 		if _, writeErr := to.Write(buffer[:n]); err != nil || writeErr != nil {
 			return
 		}
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -292,7 +292,7 @@
 func (s *Site) ApplyCatalogue(c *catalogue.Catalogue, within time.Duration) error {
 	deadline := time.Now().Add(within)
 	for i := 0; ; i++ {
-		err := s.applyOnce(s.Instances[i%s.config.Control], c)
+		err := s.ApplyAt(s.Instances[i%s.config.Control], c)
 		if err == nil || time.Now().After(deadline) {
 			return err
 		}
@@ -300,7 +300,8 @@
 	}
 }
 
-func (s *Site) applyOnce(instance *Instance, c *catalogue.Catalogue) error {
+// ApplyAt applies a catalogue once, through the given control instance.
+func (s *Site) ApplyAt(instance *Instance, c *catalogue.Catalogue) error {
 	var current control.CatalogueReply
 	if err := s.operate(http.MethodGet, instance, "/v1/catalogue", nil, &current); err != nil {
 		return err
