--- a/standin/soak/backend.go
+++ b/standin/soak/backend.go
@@ -44,12 +44,6 @@
 	r.byID[run.Request] = append(r.byID[run.Request], run)
 }
 
-func (r *runs) of(id string) []Arrival {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.byID[id]
-}
-
 // handler answers as the application of one backend server: POST /KIND/ID runs the request ID.
 func (r *runs) handler(zone string) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
