Plain services count as full later; unknown servers of a large fleet don't pass for idle

Plain services. Change: Candidate.Full compares the time of the queue with the time that the request may wait here; the refusal states load and time. Below three times the slots only, as servers refuse then (not run, but an attempt). Unknown servers. Cause: each instance of a large fleet learned of a sixth of the engines lately and took all others for idle. Change: they count as busy as the median known one, where six or more but less than half are known. The weight of what was learned by its age is written once.

--- a/server/balance/balance.go
+++ b/server/balance/balance.go
@@ -58,6 +58,8 @@
 	Doubt float64
 	// Slowness is the factor by which its answers take longer than those of its pool, at least 1.
 	Slowness float64
+	// Latency is the usual time to the first byte of its answers lately, 0 until it has answered often enough.
+	Latency time.Duration
 	// CachedTokens is the number of tokens of the prompt that it has probably read already.
 	CachedTokens int
 }
@@ -91,13 +93,16 @@
 	best, bestScore := -1, math.Inf(1)
 	group := groupOf(candidates, r)
 	home := homeOf(candidates, r, group)
-	seed := Hash(salt)
+	seed, presumed := Hash(salt), presumedPressure(candidates, group, home)
 	for i := range candidates {
 		c := &candidates[i]
 		if c.Cold && !c.ColdReady {
 			continue
 		}
 		score := score(c, r, i == home) + tieBreak(seed, c)
+		if !c.Known && !c.Cold {
+			score += max(presumed-c.Pressure(), 0)
+		}
 		if !group.holds(c) {
 			score += groupCost
 		}
@@ -124,24 +129,69 @@
 	return c.Load + c.Queue/queueScale + float64(c.Gap)/float64(gapScale)
 }
 
+// Full says that a request should rather wait in this instance, where it keeps its rank and can still go elsewhere. wait is how
+// long it may wait here. A plain service that answers in milliseconds has emptied its queue before that time is over, and what
+// it stated of its load is old by then.
+func (c *Candidate) Full(r *Request, wait time.Duration) bool {
+	quick := r.PromptTokens == 0 && c.Latency > 0 && time.Duration(c.Load*float64(c.Latency)) < wait
+	return c.Load >= fullLoad && !(quick && c.Load < fullQuickLoad)
+}
+
+const (
+	// fullLoad is the load from which on a backend server counts as full: it runs as much as it can, and half as much waits.
+	fullLoad = 1.5
+	// fullQuickLoad is the same for plain services that answer quickly: they refuse requests when a few times their slots wait.
+	fullQuickLoad = 3
+)
+
 // Pressure returns how busy the backend servers are that run the request's model: the pressure below which pressureShare of
 // those lie of which this instance knows, 0 without any. In a large fleet it knows of some only, and the others are as busy.
 func Pressure(candidates []Candidate, r *Request) float64 {
 	group := groupOf(candidates, r)
+	known := knownPressures(candidates, group.holds)
+	if len(known) == 0 {
+		return 0
+	}
+	return known[len(known)*pressureShare/100]
+}
+
+// knownPressures returns the pressures, in ascending order, of the backend servers among some of which this instance knows.
+func knownPressures(candidates []Candidate, among func(*Candidate) bool) []float64 {
 	var known []float64
 	for i := range candidates {
 		c := &candidates[i]
-		if c.Known && group.holds(c) && c.Doubt == 0 && (!c.Cold || c.ColdReady) {
+		if c.Known && c.Doubt == 0 && (!c.Cold || c.ColdReady) && among(c) {
 			known = append(known, c.Pressure())
 		}
 	}
-	if len(known) == 0 {
+	slices.Sort(known)
+	return known
+}
+
+// presumedPressure returns how busy a member of the group is of which this instance knows nothing. In a large fleet it is as
+// busy as the median of those it knows: an unknown one that passed for idle would be chosen before each known one, whatever
+// others send there. Those to which a shared prompt goes are left out, as they are busier than the others. When the instance
+// knows half of the group, the others are probably idle.
+func presumedPressure(candidates []Candidate, group group, home int) float64 {
+	members := 0
+	known := knownPressures(candidates, func(c *Candidate) bool {
+		return group.holds(c) && c.CachedTokens == 0 && (home < 0 || c != &candidates[home])
+	})
+	for i := range candidates {
+		if group.holds(&candidates[i]) {
+			members++
+		}
+	}
+	if len(known) < leastKnown || 2*len(known) >= members {
 		return 0
 	}
-	slices.Sort(known)
-	return known[len(known)*pressureShare/100]
+	return known[(len(known)-1)/2]
 }
 
+// leastKnown is the number of known backend servers from which on they tell of the others: fewer may all be busy by chance, and
+// of a pool of twelve each instance soon knows half.
+const leastKnown = 6
+
 // pressureShare is the part of the known backend servers, in percent, that are less busy than the pressure of the pool: requests go
 // to one of the less busy ones, and rarely to the least busy of all.
 const pressureShare = 25
--- a/server/balance/balance_test.go
+++ b/server/balance/balance_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -19,9 +20,19 @@
 	return c
 }
 
+// known is a backend server of which the instance learned lately how busy it is.
+func known(id string, load float64) balance.Candidate {
+	return named(id, func(c *balance.Candidate) { c.Known, c.Load = true, load })
+}
+
 // Each case guards against a request that goes where it waits longer, or where it may not go.
 func TestChoose(t *testing.T) {
 	prompt := &balance.Request{PromptTokens: 10_000, Pace: 1, Zone: "a"}
+	var busy []balance.Candidate
+	for i := range 7 {
+		busy = append(busy, known(fmt.Sprintf("busy%d", i), 0.5))
+	}
+	busy = slices.Clip(busy)
 	cases := []struct {
 		desc       string
 		request    *balance.Request
@@ -41,6 +52,11 @@
 		{"not where the last attempts failed", prompt, []balance.Candidate{
 			named("x", func(c *balance.Candidate) { c.Doubt = 1 }), named("y", func(c *balance.Candidate) { c.Load = 1 })}, "y"},
 		{"a doubtful one when there is no other", prompt, []balance.Candidate{named("x", func(c *balance.Candidate) { c.Doubt = 1 })}, "x"},
+		{"a known idle one before unknown ones while the known ones are busy", prompt, append(pool(20), append(busy, known("x", 0.1))...), "x"},
+		{"an unknown one when few are known", prompt, append(pool(20)[7:8], busy[0], busy[1]), "s07"},
+		{"an unknown one when most are known", prompt, append(pool(20)[7:8], busy...), "s07"},
+		{"a cold unknown one, which has nothing to do", prompt,
+			append(pool(20), append(busy, named("u", func(c *balance.Candidate) { c.Cold, c.ColdReady = true, true }), known("x", 0.1))...), "u"},
 		{"no cold one beyond its rate", prompt, []balance.Candidate{named("x", func(c *balance.Candidate) { c.Cold = true })}, ""},
 		{"a cold one within its rate", prompt, []balance.Candidate{named("x", func(c *balance.Candidate) { c.Cold, c.ColdReady = true, true })}, "x"},
 	}
@@ -182,6 +198,41 @@
 	}
 }
 
+// Guards against requests that are refused for a queue that is gone: a plain service that runs 15 ms a request said 0.3 s ago that
+// it has half as many requests again as slots. Each case states when a request waits in the instance instead.
+func TestFull(t *testing.T) {
+	const wait = 72 * time.Millisecond
+	plain, prompt := &balance.Request{Zone: "a"}, &balance.Request{PromptTokens: 500, Pace: 1, Zone: "a"}
+	for _, c := range []struct {
+		desc    string
+		request *balance.Request
+		running int
+		answer  time.Duration
+		want    bool
+	}{
+		{"free slots", plain, 5, 15 * time.Millisecond, false},
+		{"a queue that is short in time", plain, 12, 15 * time.Millisecond, false},
+		{"a queue that takes longer than the request may wait", plain, 12, 60 * time.Millisecond, true},
+		{"a queue so long that requests are refused there", plain, 30, 15 * time.Millisecond, true},
+		{"an unknown time of answers", plain, 12, 0, true},
+		{"a generation, whose slots stay in use", prompt, 12, 15 * time.Millisecond, true},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			tracker := balance.NewTracker()
+			for range 10 {
+				if c.answer > 0 {
+					tracker.Answered(start, "s", c.answer)
+				}
+			}
+			tracker.Observe("s", balance.Observation{Running: c.running, Slots: 6, At: start})
+			got := tracker.Candidates(start.Add(300*time.Millisecond), []balance.Row{{ID: "s", Zone: "a", Slots: 6}}, c.request)[0]
+			if got.Full(c.request, wait) != c.want {
+				t.Errorf("full: %t at a load of %.2f, want %t", !c.want, got.Load, c.want)
+			}
+		})
+	}
+}
+
 // Guards against a cold backend server that falls over because each instance keeps to its own rate only. It replays
 // instances that all have more requests than the cold server bears, and counts each span of a second.
 func TestColdRateHoldsOverAllInstances(t *testing.T) {
--- a/server/balance/tracker.go
+++ b/server/balance/tracker.go
@@ -202,8 +202,11 @@
 		if now.Before(s.doubted) || row.Heard > silentAfter {
 			c.Doubt = 1
 		}
-		if s.answers >= minLatencies && mean > 0 {
-			c.Slowness = max(s.latency/mean, 1)
+		if s.answers >= minLatencies {
+			c.Latency = time.Duration(s.latency * float64(time.Millisecond))
+			if mean > 0 {
+				c.Slowness = max(s.latency/mean, 1)
+			}
 		}
 		out = append(out, c)
 	}
@@ -240,10 +243,8 @@
 	if s.seen.At.IsZero() {
 		return own / float64(max(slots, 1))
 	}
-	age := now.Sub(s.seen.At)
-	weight := float64(observationLife) / float64(observationLife+age)
 	others := max(float64(s.seen.Running+s.seen.Waiting-s.ownSeen), 0)
-	return (own + others*weight) / float64(max(slots, 1))
+	return (own + others*faded(now, s.seen.At)) / float64(max(slots, 1))
 }
 
 // queue estimates the prompt tokens that wait to be read: those of this instance, and those of others as they told or as the
@@ -253,9 +254,8 @@
 	if s.seen.At.IsZero() {
 		return s.queued + heard
 	}
-	weight := float64(observationLife) / float64(observationLife+now.Sub(s.seen.At))
 	others := max(float64(s.seen.Waiting-s.ownWaiting), 0)
-	return s.queued + max(others*weight*meanWork, heard)
+	return s.queued + max(others*faded(now, s.seen.At)*meanWork, heard)
 }
 
 // cached returns the number of tokens at the beginning of the prompt that this server has read lately.
@@ -373,7 +373,12 @@
 	if s.paced.IsZero() {
 		return 0
 	}
-	return time.Duration(float64(s.gap) * float64(observationLife) / float64(observationLife+now.Sub(s.paced)))
+	return time.Duration(float64(s.gap) * faded(now, s.paced))
+}
+
+// faded is the weight of what was learned at a time: 1 at once, a half after observationLife.
+func faded(now, at time.Time) float64 {
+	return float64(observationLife) / float64(observationLife+now.Sub(at))
 }
 
 // Failed notes an attempt that the backend server failed. It is avoided for a while.
--- a/server/entry/routed_place.go
+++ b/server/entry/routed_place.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -47,8 +48,9 @@
 	}
 	server := servers[best]
 	h.bindVersion(rq, server, snap.Now)
-	if candidates[best].Load >= maxRoutedLoad {
-		return nil, problem.New(problem.Overloaded, "each backend server of "+call.service+" is full").After(time.Second)
+	if c := &candidates[best]; c.Full(size, call.route.Target()*waitShare/100) {
+		return nil, problem.New(problem.Overloaded, fmt.Sprintf("each backend server of %s is full, the best one has a load of %.2f and answers in %v",
+			call.service, c.Load, c.Latency)).After(time.Second)
 	}
 	h.logPlacement(rq, server, &candidates[best], len(candidates), snap)
 	placed := h.holdPlace(rq, server, size, candidates[best].ColdRate)
@@ -87,9 +89,6 @@
 	}
 }
 
-// maxRoutedLoad is the load from which on a request waits in this instance instead of at a backend server.
-const maxRoutedLoad = 1.5
-
 // holdPlace counts the request at the backend server until the placement is released.
 func (h *Handler) holdPlace(rq *request, server *control.BackendServer, size *balance.Request, cold float64) *placement {
 	begun, done := h.balance.Sent(time.Now(), server.ID, size, cold)
--- a/standin/emulator/emulator_test.go
+++ b/standin/emulator/emulator_test.go
@@ -14,6 +14,8 @@
 const (
 	engines = 14
 	entries = 9
+	// largeFleet is the number of engines, and that of entry instances, of the loads of a large fleet.
+	largeFleet = 80
 )
 
 // load describes arrivals. Sizes follow the users' sheets: prompts of a wide lognormal distribution.
@@ -30,9 +32,20 @@
 	hotShare  float64
 	hotTokens int
 	faults    []Fault
+	// large says that the fleet is large, so that each instance sends to a small part of the engines.
+	large bool
+}
+
+// fleet returns the numbers of engines and entry instances.
+func (l *load) fleet() (int, int) {
+	if l.large {
+		return largeFleet, largeFleet
+	}
+	return engines, entries
 }
 
 func (l *load) requests(rng *rand.Rand) []Request {
+	_, entries := l.fleet()
 	var out []Request
 	for at := time.Duration(0); at < l.length; {
 		rate := l.perSecond
@@ -67,7 +80,8 @@
 // more callers late than simpler ways do, and at most half as many where the load is what the way was built for. Several
 // arrivals are played, as one alone may suit any way.
 func TestPlacementUnderLoad(t *testing.T) {
-	const seeds = 4
+	// A large fleet has as many requests in two plays as the others in four times as many.
+	const seeds, largeSeeds = 4, 2
 	cases := []struct {
 		load
 		// halfOfLeast and halfOfDeaf ask for half as many late callers as the fewest own requests, and as the product without
@@ -80,15 +94,20 @@
 		{load{desc: "half of the pool is slow", perSecond: 30, length: 20 * time.Second, median: 800, spread: 1.2, largest: 20_000,
 			faults: slowHalf(5*time.Second, 10*time.Second, 4)}, true, false},
 		{load{desc: "one prompt is hot", perSecond: 30, length: 20 * time.Second, median: 400, spread: 1, largest: 4000, hotShare: 0.5, hotTokens: 12_000}, false, false},
+		{load{desc: "a large fleet", perSecond: 260, length: 20 * time.Second, median: 900, spread: 1.6, largest: 54_600, large: true}, true, true},
 	}
 	for _, c := range cases {
 		t.Run(c.desc, func(t *testing.T) {
+			engines, entries := c.fleet()
 			names := []string{"random", "least outstanding", "product without hints", "product"}
 			var inTime [4]float64
 			var first [4]time.Duration
 			var read [4]int
-			total := 0
-			for seed := range uint64(seeds) {
+			total, plays := 0, seeds
+			if c.large {
+				plays = largeSeeds
+			}
+			for seed := range uint64(plays) {
 				requests := c.requests(rand.New(rand.NewPCG(seed, 1)))
 				total += len(requests)
 				for i, p := range []Placement{
@@ -122,6 +141,9 @@
 			if late(3) > allowed(2, c.halfOfDeaf) {
 				t.Errorf("late: with hints %.1f%%, without %.1f%%", late(3), late(2))
 			}
+			if c.large && late(2) > late(1)*2/3 {
+				t.Errorf("late: without hints, most of which are withheld in a large fleet, %.1f%%, least outstanding %.1f%%", late(2), late(1))
+			}
 			if c.hotShare > 0 && read[3] >= read[1] {
 				t.Errorf("a hot prompt is read as often as without regard to it: %d and %d tokens", read[3], read[1])
 			}
