--- a/server/balance/balance.go
+++ b/server/balance/balance.go
@@ -4,12 +4,9 @@
 package balance
 
 import (
-	"encoding/binary"
 	"math"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // PromptPart is one part of a prompt, in order. Requests that begin with the same parts can share what an engine read.
@@ -73,9 +70,6 @@
 	gapScale = time.Second
 	// groupCost keeps requests on the backend servers of their model's group until those have this much more load.
 	groupCost = 0.5
-	// smallGroupPercent is the part of a pool, in percent, that runs the smallest model. Every request runs there first, at a
-	// tenth of the time of the largest model.
-	smallGroupPercent = 22
 	// otherZoneCost is the score of the way to another availability zone, in units of load: the way costs a few ms and
 	// bytes between zones are charged, so it is worth a small imbalance only.
 	otherZoneCost = 0.06
@@ -144,17 +138,6 @@
 	fullQuickLoad = 3
 )
 
-// Pressure returns how busy the backend servers are that run the request's model: the pressure below which pressureShare of
-// those lie of which this instance knows, 0 without any. In a large fleet it knows of some only, and the others are as busy.
-func Pressure(candidates []Candidate, r *Request) float64 {
-	group := groupOf(candidates, r)
-	known := knownPressures(candidates, group.holds)
-	if len(known) == 0 {
-		return 0
-	}
-	return known[len(known)*pressureShare/100]
-}
-
 // knownPressures returns the pressures, in ascending order, of the backend servers among some of which this instance knows.
 func knownPressures(candidates []Candidate, among func(*Candidate) bool) []float64 {
 	var known []float64
@@ -192,49 +175,6 @@
 // of a pool of twelve each instance soon knows half.
 const leastKnown = 6
 
-// pressureShare is the part of the known backend servers, in percent, that are less busy than the pressure of the pool: requests go
-// to one of the less busy ones, and rarely to the least busy of all.
-const pressureShare = 25
-
-// Sureness returns the confidence from which on the answer of a smaller model is delivered, for a request as the larger model
-// would run it. It falls as the larger models get busy, and first for long prompts: while an engine reads a prompt its
-// streams stand still, so that a better answer holds up others the more, the longer its prompt is.
-func Sureness(sure int, pressure float64, larger *Request) int {
-	relaxed := min(max((pressure-easyPressure)/(fullPressure-easyPressure), 0), 1)
-	return int(float64(sure) * max(1-relaxed*mostRelaxed*larger.burden(), 0))
-}
-
-// burden weighs a generation by what its prompt takes from others: 0 for an empty prompt, mostBurden for the longest ones.
-func (r *Request) burden() float64 {
-	work := r.work(0)
-	return min(heavyBurden*2*work/(work+heavyWork), mostBurden)
-}
-
-const (
-	// easyPressure is the pressure up to which the larger model is asked as often as callers would like, and fullPressure
-	// that from which on it is asked for the most doubtful answers only.
-	easyPressure = 0.05
-	fullPressure = 0.35
-	// mostRelaxed is the share of the confidence that is waived at fullPressure for a request with a burden of 1.
-	mostRelaxed = 0.9
-	// heavyBurden is the burden of a prompt of heavyWork tokens, and mostBurden that of the longest ones, which are waived whole
-	// shortly before fullPressure. The figures are those of the best of three trials on the grown sites.
-	heavyBurden = 0.75
-	mostBurden  = 1.2
-)
-
-// NextModel returns the position of the model that a request goes on to when the model at a position doubts its answer: the
-// next one when little was missing, else the largest.
-func NextModel(at, models, confidence, sure int) int {
-	if at+1 < models-1 && 100*confidence >= nearlySure*sure {
-		return at + 1
-	}
-	return models - 1
-}
-
-// nearlySure is the share of the confidence asked, in percent, from which on the next larger model is likely to do.
-const nearlySure = 60
-
 // tieShare is the largest score that the salt decides over.
 const tieShare = 0.02
 
@@ -242,82 +182,6 @@
 	return tieShare * float64(rankFor(seed, c.Hash)>>54) / (1 << 10)
 }
 
-// homeOf returns the candidate of the model's group with the highest rendezvous rank for the shared parts of the prompt, so
-// that all instances send prompts with the same beginning to the same backend server without talking to each other; -1
-// without such parts.
-func homeOf(candidates []Candidate, r *Request, group group) int {
-	key := sharedKey(r.Parts)
-	if key == "" {
-		return -1
-	}
-	home, highest, seed := -1, uint64(0), Hash(r.Model+"/"+key)
-	for i := range candidates {
-		if !group.holds(&candidates[i]) {
-			continue
-		}
-		if rank := rankFor(seed, candidates[i].Hash); home < 0 || rank > highest {
-			home, highest = i, rank
-		}
-	}
-	return home
-}
-
-// group is the part of a pool that runs a model: the candidates whose hash is below a limit, or those from it on.
-type group struct {
-	all   bool
-	limit uint64
-	below bool
-}
-
-func (g group) holds(c *Candidate) bool { return g.all || (c.Hash < g.limit) == g.below }
-
-// groupOf returns the backend servers that run the request's model: the smallest model has some of its own, because a small
-// request that shares an engine with the long prompts of a large model waits for those. Pools of one or two have one group.
-func groupOf(candidates []Candidate, r *Request) group {
-	small := (smallGroupPercent*len(candidates) + 50) / 100
-	if r.Models < 2 || small == 0 {
-		return group{all: true}
-	}
-	g := group{below: r.ModelRank == 0}
-	if len(candidates) > exactGroup {
-		g.limit = math.MaxUint64 / 100 * smallGroupPercent
-		return g
-	}
-	var hashes [exactGroup]uint64
-	for i := range candidates {
-		hashes[i] = candidates[i].Hash
-	}
-	sorted := hashes[:len(candidates)]
-	slices.Sort(sorted)
-	g.limit = sorted[small]
-	return g
-}
-
-// exactGroup is the largest pool whose small group has an exact number of members. In larger ones the share of the hashes
-// below a limit is close enough.
-const exactGroup = 64
-
-// sharedKey names the longest beginning of a prompt that other prompts may have too: all parts but the last.
-func sharedKey(parts []PromptPart) string {
-	if len(parts) < 2 {
-		return ""
-	}
-	return parts[len(parts)-2].ID
-}
-
-// Hash returns the rank of an id among others, the same on each instance.
-func Hash(id string) uint64 {
-	return xxhash.Sum64String(id)
-}
-
-// rankFor returns the rank of a hash for a key, in which the hashes of all keys are ordered independently.
-func rankFor(key, hash uint64) uint64 {
-	var pair [16]byte
-	binary.LittleEndian.PutUint64(pair[:8], key)
-	binary.LittleEndian.PutUint64(pair[8:], hash)
-	return xxhash.Sum64(pair[:])
-}
-
 // Observation is the load that a backend server stated in an answer.
 type Observation struct {
 	Running, Waiting, Slots int
