--- a/server/controlclient/client_test.go
+++ b/server/controlclient/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -64,7 +65,7 @@
 	var all []*Replica
 	var addresses []string
 	for range n {
-		s, err := peer.Listen("127.0.0.1:0", secret)
+		s, err := peer.Listen("127.0.0.1:0", secret, slog.New(slog.DiscardHandler))
 		Expect(err).NotTo(HaveOccurred())
 		r := &Replica{server: s}
 		r.answers(func() error { return controlclient.NotLeader("") })
--- a/server/controlclient/learn_test.go
+++ b/server/controlclient/learn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync/atomic"
 	"time"
 
@@ -36,7 +37,7 @@
 
 var _ = Describe("a client that knows one seed", func() {
 	start := func() *Member {
-		s, err := peer.Listen("127.0.0.1:0", secret)
+		s, err := peer.Listen("127.0.0.1:0", secret, slog.New(slog.DiscardHandler))
 		Expect(err).NotTo(HaveOccurred())
 		m := &Member{server: s}
 		Expect(s.Register("Control", m)).To(Succeed())
--- a/server/controlsvc/bench_test.go
+++ b/server/controlsvc/bench_test.go
@@ -37,7 +37,7 @@
 	members := map[string]string{}
 	var servers []*peer.Server
 	for i := range 3 {
-		s, err := peer.Listen("127.0.0.1:0", secret)
+		s, err := peer.Listen("127.0.0.1:0", secret, slog.New(slog.DiscardHandler))
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/server/controlsvc/service_test.go
+++ b/server/controlsvc/service_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -141,9 +142,9 @@
 var _ = Describe("two replicas over net/rpc", func() {
 	It("copies the fleet table to the follower and leads clients and operators to the leader", func() {
 		secret := []byte("secret")
-		server, err := peer.Listen("127.0.0.1:0", secret)
+		server, err := peer.Listen("127.0.0.1:0", secret, slog.New(slog.DiscardHandler))
 		Expect(err).NotTo(HaveOccurred())
-		followerServer, err := peer.Listen("127.0.0.1:0", secret)
+		followerServer, err := peer.Listen("127.0.0.1:0", secret, slog.New(slog.DiscardHandler))
 		Expect(err).NotTo(HaveOccurred())
 		pool := peer.NewPool(secret, time.Second)
 		leader := newBench(true, func(c *Config) { c.PeerAddress = server.Address() })
--- a/server/daemon/container.go
+++ b/server/daemon/container.go
@@ -108,8 +108,8 @@
 
 func newPool(key secret) *peer.Pool { return peer.NewPool(key, dialTimeout) }
 
-func newPeerServer(s *settings.Settings, key secret, ring *timeline.Ring) (*peer.Server, error) {
-	server, err := peer.Listen(s.PeerListen, key)
+func newPeerServer(s *settings.Settings, key secret, ring *timeline.Ring, log *slog.Logger) (*peer.Server, error) {
+	server, err := peer.Listen(s.PeerListen, key, log)
 	if err != nil {
 		return nil, err
 	}
--- a/server/daemon/listen.go
+++ b/server/daemon/listen.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/pprof"
@@ -90,6 +91,7 @@
 
 // runServer runs a server until the daemon stops.
 func (d *daemon) runServer(server *http.Server, l net.Listener) {
+	server.ErrorLog = slog.NewLogLogger(d.Logger.Handler(), slog.LevelWarn)
 	d.servers = append(d.servers, server)
 	d.task(func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/server/ledger/replica_test.go
+++ b/server/ledger/replica_test.go
@@ -27,7 +27,7 @@
 func member(dir string) (proposer *controlsvc.LogProposer, log *replica.Replica, stop func()) {
 	GinkgoHelper()
 	secret := []byte("secret")
-	server, err := peer.Listen("127.0.0.1:0", secret)
+	server, err := peer.Listen("127.0.0.1:0", secret, slog.New(slog.DiscardHandler))
 	Expect(err).NotTo(HaveOccurred())
 	pool := peer.NewPool(secret, time.Second)
 	state := controlstate.New()
--- a/server/peer/peer_test.go
+++ b/server/peer/peer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"testing"
 	"time"
@@ -35,7 +36,7 @@
 // serve runs a server until the spec ends.
 func serve(echo *Echo) *peer.Server {
 	GinkgoHelper()
-	s, err := peer.Listen("127.0.0.1:0", secret)
+	s, err := peer.Listen("127.0.0.1:0", secret, slog.New(slog.DiscardHandler))
 	Expect(err).NotTo(HaveOccurred())
 	Expect(s.Register("Echo", echo)).To(Succeed())
 	go func() { _ = s.Serve() }()
--- a/server/replica/cluster_test.go
+++ b/server/replica/cluster_test.go
@@ -91,7 +91,7 @@
 }
 
 func (c *cluster) listen(id, folder string) *node {
-	server, err := peer.Listen("127.0.0.1:0", secret)
+	server, err := peer.Listen("127.0.0.1:0", secret, slog.New(slog.DiscardHandler))
 	if err != nil {
 		c.t.Fatal(err)
 	}
@@ -141,7 +141,7 @@
 
 func (c *cluster) restart(id string) *node {
 	n := c.nodes[id]
-	server, err := peer.Listen(n.address, secret)
+	server, err := peer.Listen(n.address, secret, slog.New(slog.DiscardHandler))
 	if err != nil {
 		c.t.Fatal(err)
 	}
--- a/server/replica/faults_test.go
+++ b/server/replica/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -428,7 +429,7 @@
 	c := newCluster(t, 3, nil)
 	c.propose("a")
 	c.converged(1)
-	server, err := peer.Listen("127.0.0.1:0", secret)
+	server, err := peer.Listen("127.0.0.1:0", secret, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/server/timeline/timeline_test.go
+++ b/server/timeline/timeline_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"runtime"
 	"strings"
 	"testing"
@@ -97,7 +98,7 @@
 		for _, name := range []string{"control-1", "entry-1"} {
 			clocks[name] = &event.Clock{}
 			rings[name] = timeline.NewRing(name, clocks[name], 10)
-			server, err := peer.Listen("127.0.0.1:0", secret)
+			server, err := peer.Listen("127.0.0.1:0", secret, slog.New(slog.DiscardHandler))
 			Expect(err).NotTo(HaveOccurred())
 			defer server.Close()
 			Expect(server.Register(timeline.ServiceName, timeline.NewService(rings[name]))).To(Succeed())
