Fleet table: silence is told instead of each announcement, whole tables are packed, room for 12,000 servers

Each announcement of a server that states its cold time was told to each entry instance although it says nothing new, and each instance that starts takes the whole table as plain gob rows. Change: the leader marks a server silent after 4 s without an announcement and tells that; ages of rows are no longer told (servers with load reports: as before). A new leader takes the rows that it copied for heard at its start. Deltas of 32 rows or more are compressed (s2) for receivers that say they read that. The bounds of the tables are 12,000; the test of the bound counts to that.

--- a/api/control/messages.go
+++ b/api/control/messages.go
@@ -177,11 +177,14 @@
 	Limit int
 	// ReportedAt is the control leader's wall clock when the last announcement arrived; used for display only.
 	ReportedAt time.Time
-	// LoadAge is the age of Running and Queued at the time the row was sent.
+	// LoadAge is the age of Running, Queued and ColdMillis at the time the row was sent.
 	LoadAge time.Duration
 	Reason  string
 	// Deregistered says that this boot left for good, whatever it announces late.
 	Deregistered bool
+	// Silent says that announcements fail to come, for a backend server that states its cold time. Its announcements carry no
+	// load, so that the table tells of those that are missing instead of each one that came.
+	Silent bool
 	// Number identifies the row within one epoch of the fleet table, so that load reports need not repeat the id.
 	Number uint32
 }
@@ -206,6 +209,8 @@
 	// Full says that Changed is the whole table.
 	Full    bool
 	Changed []BackendServer
+	// Packed holds the changed rows instead of Changed, compressed, when there are many and the receiver accepts that.
+	Packed []byte
 	// Loads holds rows of which only the load or the prefixes changed.
 	Loads   []LoadReport
 	Removed []string
@@ -232,6 +237,8 @@
 	FleetVersion uint64
 	// RatingsVersion is the version of the rating table that the sender holds.
 	RatingsVersion uint64
+	// AcceptsPacked says that the sender reads the packed rows of a fleet delta.
+	AcceptsPacked bool
 }
 
 // RatingRow is the estimated quality of one version in one class, as the parameters of a Beta posterior.
--- a/server/balance/tracker.go
+++ b/server/balance/tracker.go
@@ -18,15 +18,12 @@
 	partLife = 10 * time.Second
 	// maxParts bounds the parts that are remembered of one backend server.
 	maxParts = 512
-	// maxServers bounds the backend servers that are remembered; the design has 600.
-	maxServers = 2000
+	// maxServers bounds the backend servers that are remembered; it is the bound of the fleet table.
+	maxServers = 12_000
 	// doubtBase is how long a backend server is avoided after one failure; it doubles with each further one in a row, up to
 	// maxDoubt.
 	doubtBase = 500 * time.Millisecond
 	maxDoubt  = 4 * time.Second
-	// silentAfter is the age of the last announcement from which on a backend server is doubted: three announcements are
-	// missing then.
-	silentAfter = 4 * time.Second
 	// latencyWeight is the share of one answer in the running mean of the time to the first byte.
 	latencyWeight = 0.2
 	// minLatencies is the number of answers before slowness is judged.
@@ -37,8 +34,8 @@
 type Row struct {
 	ID, Zone string
 	Slots    int
-	// Heard is how long ago the last announcement was sent on.
-	Heard time.Duration
+	// Silent says that its announcements fail to come.
+	Silent bool
 	// ColdFor is how long it stays cold, 0 when it is warm or when its service has no bound for cold ones.
 	ColdFor time.Duration
 	// ColdRate is the rate of requests a second that this instance may send while it is cold; 0: none.
@@ -199,7 +196,7 @@
 		if row.ColdFor > 0 {
 			c.Cold, c.ColdReady, c.ColdRate = true, row.ColdRate > 0 && s.cold.ready(now), row.ColdRate
 		}
-		if now.Before(s.doubted) || row.Heard > silentAfter {
+		if now.Before(s.doubted) || row.Silent {
 			c.Doubt = 1
 		}
 		if s.answers >= minLatencies {
--- a/server/blackboard/sections.go
+++ b/server/blackboard/sections.go
@@ -10,8 +10,10 @@
 
 // Fleet is the table of backend servers as this process knows it.
 type Fleet struct {
-	Epoch   string
-	Version uint64
+	Epoch string
+	// EpochSince is when the first delta of the epoch was received.
+	EpochSince time.Time
+	Version    uint64
 	// Servers by id.
 	Servers map[string]*control.BackendServer
 	// ByVersion and ByService index Servers; the slices are sorted by id.
--- a/server/controlclient/client.go
+++ b/server/controlclient/client.go
@@ -12,6 +12,7 @@
 
 	"clementinetray/api/control"
 	"clementinetray/api/event"
+	"clementinetray/server/fleet"
 	"clementinetray/server/peer"
 )
 
@@ -74,7 +75,7 @@
 // Sync asks the replica that answered last, and each other one in turn when the one before fails or is slow to answer. The
 // first reply counts.
 func (c *Client) Sync(ctx context.Context, in *control.SyncRequest) (*control.SyncReply, error) {
-	in.Meta = c.meta()
+	in.Meta, in.AcceptsPacked = c.meta(), true
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	type answer struct {
@@ -93,7 +94,11 @@
 		asked, open = asked+1, open+1
 		go func() {
 			out := &control.SyncReply{}
-			answers <- answer{address, out, c.attempt(ctx, address, "Control.Sync", &request, out)}
+			err := c.attempt(ctx, address, "Control.Sync", &request, out)
+			if err == nil {
+				out.Fleet, err = fleet.Unpack(out.Fleet)
+			}
+			answers <- answer{address, out, err}
 		}()
 	}
 	askNext()
--- a/server/controlsvc/rpc.go
+++ b/server/controlsvc/rpc.go
@@ -10,6 +10,7 @@
 	"clementinetray/api/event"
 	"clementinetray/server/controlclient"
 	"clementinetray/server/controlstate"
+	"clementinetray/server/fleet"
 	"clementinetray/server/limits"
 	"clementinetray/server/replica"
 )
@@ -23,6 +24,13 @@
 	l, _ := s.Log.LeadershipChanged()
 	out.View, out.Revision = s.State.ViewSince(in.Revision)
 	out.Fleet = s.FleetTable.Delta(started, in.FleetEpoch, in.FleetVersion)
+	if in.AcceptsPacked {
+		packed, err := fleet.Pack(out.Fleet)
+		if err != nil {
+			return err
+		}
+		out.Fleet = packed
+	}
 	out.Ratings = s.Ratings.Table(in.RatingsVersion)
 	out.Leader = l.LeaderAddress
 	if l.Leader {
--- a/server/entry/routed_place.go
+++ b/server/entry/routed_place.go
@@ -12,6 +12,7 @@
 	"clementinetray/api/control"
 	"clementinetray/api/problem"
 	"clementinetray/server/balance"
+	"clementinetray/server/fleet"
 	"clementinetray/server/limits"
 	"clementinetray/server/retry"
 	"clementinetray/server/routing"
@@ -132,9 +133,10 @@
 		if !routing.Routable(snap, b) || rq.route.Exclude[b.ID] || !wanted(b.SoftwareVersion) {
 			continue
 		}
-		heard := b.LoadAge + since
-		coldFor := max(time.Duration(b.ColdMillis)*time.Millisecond-heard, 0)
-		rows = append(rows, balance.Row{ID: b.ID, Zone: b.AvailabilityZone, Slots: b.Capacity, Heard: heard, ColdFor: coldFor})
+		age := b.LoadAge + since
+		coldFor := max(time.Duration(b.ColdMillis)*time.Millisecond-age, 0)
+		silent := b.Silent || since > fleet.SilentAfter || !b.StatesCold && age > fleet.SilentAfter
+		rows = append(rows, balance.Row{ID: b.ID, Zone: b.AvailabilityZone, Slots: b.Capacity, Silent: silent, ColdFor: coldFor})
 		servers = append(servers, b)
 	}
 	return rows, servers
--- a/server/fleet/apply.go
+++ b/server/fleet/apply.go
@@ -15,7 +15,8 @@
 // ages. old may be nil.
 //
 // Rows of the last leader that a new leader does not list stay, with Number 0, until their last announcement is
-// AnnouncementTTL old: a leader that has just started knows no backend server yet.
+// AnnouncementTTL old: a leader that has just started knows no backend server yet. Those that state their cold time stay as
+// long from the new leader's first delta on, as nobody told of their last announcement.
 func Apply(old *blackboard.Fleet, d control.FleetDelta, now time.Time) *blackboard.Fleet {
 	if old == nil {
 		old = &blackboard.Fleet{ReceivedAt: now}
@@ -23,11 +24,14 @@
 	if stale(old, d) {
 		d = control.FleetDelta{Epoch: old.Epoch, Version: old.Version}
 	}
-	next := &blackboard.Fleet{Epoch: d.Epoch, Version: d.Version, ReceivedAt: now, Members: old.Members}
+	next := &blackboard.Fleet{Epoch: d.Epoch, EpochSince: now, Version: d.Version, ReceivedAt: now, Members: old.Members}
+	if d.Epoch == old.Epoch {
+		next.EpochSince = old.EpochSince
+	}
 	if d.MembersChanged {
 		next.Members = d.Members
 	}
-	next.Servers = index(merge(old, d, now))
+	next.Servers = index(merge(old, d, now, next.EpochSince))
 	group(next)
 	return next
 }
@@ -40,7 +44,7 @@
 }
 
 // merge returns the rows after the delta. All rows are copied, as the ages of the unchanged ones grow too.
-func merge(old *blackboard.Fleet, d control.FleetDelta, now time.Time) []control.BackendServer {
+func merge(old *blackboard.Fleet, d control.FleetDelta, now, epochSince time.Time) []control.BackendServer {
 	rows := make([]control.BackendServer, 0, len(old.Servers)+len(d.Changed))
 	drop := make(map[string]bool, len(d.Changed)+len(d.Removed))
 	for i := range d.Changed {
@@ -57,7 +61,11 @@
 	for id, s := range old.Servers {
 		inherited := s.Number == 0 || d.Epoch != old.Epoch
 		listed := !d.Full && !inherited
-		if drop[id] || !listed && (!inherited || s.LoadAge+elapsed >= AnnouncementTTL) {
+		unheard := s.LoadAge + elapsed
+		if s.StatesCold {
+			unheard = now.Sub(epochSince)
+		}
+		if drop[id] || !listed && (!inherited || unheard >= AnnouncementTTL) {
 			continue
 		}
 		rows = append(rows, *s)
--- a/server/fleet/contract.go
+++ b/server/fleet/contract.go
@@ -16,6 +16,8 @@
 	ErrInvalidAnnouncement = errs.Class("invalid announcement")
 	// ErrStaleBoot means that an announcement of an earlier start of the backend server arrived late; it changed nothing.
 	ErrStaleBoot = errs.Class("stale boot")
+	// ErrPacked means that the packed rows of a delta can't be read.
+	ErrPacked = errs.Class("packed fleet delta")
 	// ErrTableFull means that the table has no room for another backend server.
 	ErrTableFull = errs.Class("fleet table full")
 )
@@ -23,14 +25,17 @@
 const (
 	// AnnouncementTTL is how long a backend server stays in the table without an announcement.
 	AnnouncementTTL = 8 * time.Second
+	// SilentAfter is the age of the last announcement from which on a backend server is doubted: three announcements are
+	// missing then where it sends one about each second.
+	SilentAfter = 4 * time.Second
 	// MemberTTL is how long an entry instance stays in the table without a heartbeat.
 	MemberTTL = 5 * time.Second
 
 	// snapshotAge is how old the loads of a snapshot may be.
 	snapshotAge = 50 * time.Millisecond
 
-	// maxServers bounds the memory of the table; it is over three times the largest fleet of the design.
-	maxServers = 2000
+	// maxServers bounds the memory of the table to about 10 MB; it is 20 times the largest fleet of the design.
+	maxServers = 12_000
 	// maxTombstones bounds the memory for removed rows. A reader that missed more of them receives the whole table.
 	maxTombstones = 1024
 	// maxVersions and maxText bound one announcement.
--- a/server/fleet/fleet_test.go
+++ b/server/fleet/fleet_test.go
@@ -167,7 +167,7 @@
 	})
 
 	It("bounds the number of servers", func() {
-		for i := range 2000 {
+		for i := range 12_000 {
 			Expect(table.Announce(now, announcement(fmt.Sprint("s", i), "1"))).To(Succeed())
 		}
 		Expect(fleet.ErrTableFull.Has(table.Announce(now, announcement("one more", "1")))).To(BeTrue())
--- a/server/fleet/stated_test.go
+++ b/server/fleet/stated_test.go
@@ -81,6 +81,58 @@
 		table.Leave(now, control.Leave{ID: "s", Started: 1})
 		Expect(row("s").Leaving).To(BeFalse())
 	})
+
+	// Guards against control traffic that grows with each announcement of each backend server at each entry instance, although
+	// they say nothing new.
+	It("are told of when they say something new, not each time they announce themselves", func() {
+		Expect(table.Announce(now, stated("s", 1, 1))).To(Succeed())
+		version := table.Delta(now, fleet.Epoch(1), 0).Version
+		for i := range 8 {
+			now = now.Add(time.Second)
+			Expect(table.Announce(now, stated("s", 1, int64(2+i)))).To(Succeed())
+			d := table.Delta(now, fleet.Epoch(1), version)
+			Expect(d.Changed).To(BeEmpty())
+			Expect(d.Loads).To(BeEmpty())
+			version = d.Version
+		}
+		Expect(table.Announce(now, stated("s", 1, 20, leaving))).To(Succeed())
+		Expect(table.Delta(now, fleet.Epoch(1), version).Changed).To(HaveLen(1))
+	})
+
+	// Guards against requests to a backend server that died, as nobody tells that it no longer announces itself.
+	It("are silent once their announcements fail to come, until the next one", func() {
+		Expect(table.Announce(now, stated("s", 1, 1))).To(Succeed())
+		version := table.Delta(now, fleet.Epoch(1), 0).Version
+		now = now.Add(fleet.SilentAfter)
+		d := table.Delta(now, fleet.Epoch(1), version)
+		Expect(d.Changed).To(HaveLen(1))
+		Expect(d.Changed[0].Silent).To(BeTrue())
+		Expect(table.Announce(now, stated("s", 1, 2))).To(Succeed())
+		d = table.Delta(now, fleet.Epoch(1), d.Version)
+		Expect(d.Changed).To(HaveLen(1))
+		Expect(d.Changed[0].Silent).To(BeFalse())
+	})
+
+	// Guards against a whole fleet that is doubted, or forgotten, because a new leader took over.
+	It("are not silent for a new leader that copied them long after they said something new, nor dropped before it lists them", func() {
+		Expect(table.Announce(now, stated("s", 1, 1))).To(Succeed())
+		copied := fleet.NewTable()
+		copied.Load(now, table.Delta(now, "", 0))
+		seen := fleet.Apply(nil, table.Delta(now, "", 0), now)
+		now = now.Add(time.Hour)
+		seen = fleet.Apply(seen, control.FleetDelta{Epoch: fleet.Epoch(1), Version: seen.Version}, now)
+		copied.Reset(now, fleet.Epoch(2))
+		Expect(copied.Snapshot(now.Add(fleet.SilentAfter / 2)).Servers["s"].Silent).To(BeFalse())
+		Expect(copied.Snapshot(now.Add(fleet.SilentAfter)).Servers["s"].Silent).To(BeTrue())
+
+		empty := control.FleetDelta{Epoch: fleet.Epoch(2), Version: 1, Full: true}
+		seen = fleet.Apply(seen, empty, now)
+		Expect(seen.Servers).To(HaveKey("s"))
+		seen = fleet.Apply(seen, control.FleetDelta{Epoch: fleet.Epoch(2), Version: 2}, now.Add(fleet.AnnouncementTTL-time.Millisecond))
+		Expect(seen.Servers).To(HaveKey("s"))
+		seen = fleet.Apply(seen, control.FleetDelta{Epoch: fleet.Epoch(2), Version: 3}, now.Add(fleet.AnnouncementTTL))
+		Expect(seen.Servers).To(BeEmpty())
+	})
 })
 
 // recorded is the replicated record of backend servers without a log.
--- a/server/fleet/table.go
+++ b/server/fleet/table.go
@@ -38,8 +38,10 @@
 }
 
 type row struct {
-	server    control.BackendServer
-	reported  time.Time
+	server   control.BackendServer
+	reported time.Time
+	// heard is the time of the last announcement, or the start of this leader's epoch, which knows of no earlier one.
+	heard     time.Time
 	expires   time.Time
 	prefixAt  time.Time
 	pastBoots []string
@@ -84,7 +86,7 @@
 	t.membersVersion, t.settled = t.version, t.version
 	t.nextExpiry = now.Add(MemberTTL)
 	for _, r := range t.rows {
-		r.expires = now.Add(AnnouncementTTL)
+		r.expires, r.heard = now.Add(AnnouncementTTL), now
 		t.touch(r)
 	}
 	for _, m := range t.members {
@@ -207,8 +209,8 @@
 	a.Leaving = a.Leaving || r.server.Deregistered
 	old := r.server.Announcement
 	prefixes := t.acceptPrefixes(now, r, a)
-	same := sameIdentity(old, a)
-	r.server.Announcement = a
+	same := sameIdentity(old, a) && !r.server.Silent
+	r.server.Announcement, r.server.Silent = a, false
 	r.server.PrefixHashes = prefixes
 	r.server.ReportedAt = now
 	if a.StatesCold {
@@ -218,8 +220,10 @@
 			r.server.Phase, r.server.Reason = control.PhaseLeaving, "announced that it leaves"
 		}
 	}
-	r.reported, r.expires = now, now.Add(AnnouncementTTL)
-	r.load = t.version
+	r.reported, r.heard, r.expires = now, now, now.Add(AnnouncementTTL)
+	if !a.StatesCold || a.ColdMillis > 0 || a.Running != old.Running || a.Queued != old.Queued {
+		r.load = t.version
+	}
 	if !slices.Equal(old.PrefixHashes, prefixes) {
 		r.prefixes = t.version
 	}
@@ -351,6 +355,7 @@
 
 func (t *Table) delta(now time.Time, epoch string, version uint64) control.FleetDelta {
 	t.expire(now)
+	t.markSilent(now)
 	d := control.FleetDelta{Epoch: t.epoch, Version: t.version}
 	if epoch != t.epoch || version < t.forgotten {
 		d.Full, version = true, 0
@@ -376,6 +381,21 @@
 	return d
 }
 
+// markSilent notes which backend servers that state their cold time have fallen silent. A follower keeps what the leader
+// noted.
+func (t *Table) markSilent(now time.Time) {
+	if t.copied {
+		return
+	}
+	for _, r := range t.rows {
+		if r.server.StatesCold && !r.server.Silent && now.Sub(r.heard) >= SilentAfter {
+			r.server.Silent = true
+			t.version++
+			r.changed, t.settled = t.version, t.version
+		}
+	}
+}
+
 func (r *row) at(now time.Time) control.BackendServer {
 	s := r.server
 	s.LoadAge = now.Sub(r.reported)
