--- a/server/fleet/record.go
+++ b/server/fleet/record.go
@@ -50,18 +50,36 @@
 	r.log.Info("fleet_seeded", "recorded", len(recorded), "seeded", seeded)
 	ticker := time.NewTicker(recordInterval)
 	defer ticker.Stop()
+	silent := map[string]bool{}
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
 		}
-		if change := difference(r.state.Servers(), r.table.Snapshot(time.Now()).Servers); change != nil {
+		servers := r.table.Snapshot(time.Now()).Servers
+		silent = r.logSilence(silent, servers)
+		if change := difference(r.state.Servers(), servers); change != nil {
 			r.commit(ctx, change)
 		}
 	}
 }
 
+// logSilence writes a line for each backend server that fell silent, or announced itself again, since the last round. It
+// returns the silent ones.
+func (r *Recorder) logSilence(before map[string]bool, servers map[string]*control.BackendServer) map[string]bool {
+	silent := map[string]bool{}
+	for id, b := range servers {
+		if b.Silent {
+			silent[id] = true
+		}
+		if b.Silent != before[id] {
+			r.log.Info("server_silence", "backend_server", id, "silent", b.Silent, "zone", b.AvailabilityZone, "sequence", b.Sequence, "age", b.LoadAge)
+		}
+	}
+	return silent
+}
+
 func (r *Recorder) commit(ctx context.Context, change *controlstate.RecordServers) {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
