Tests and stand-ins: one piece of code for what stood twice

Two copies of a buffer that a test reads while a logger writes: both tests take gbytes of gomega, which is a dependency already. The active voters of a status were collected in the end-to-end specs and twice in the soak: site.Voters. The soak took a zone out and a key away by the same steps written twice (hold), named the zones three times, and recorded two fields of each arrival that nothing read. The forwarder closed a channel once by a select under a mutex (sync.Once). The product is unchanged; tests keep their assertions.

--- a/server/fleet/stated_test.go
+++ b/server/fleet/stated_test.go
@@ -3,12 +3,11 @@
 import (
 	"context"
 	"log/slog"
-	"strings"
-	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
 
 	"clementinetray/api/control"
 	"clementinetray/server/controlstate"
@@ -150,24 +149,6 @@
 	return r.state.Apply(1, data), nil
 }
 
-// syncedLog takes the lines of a logger while a test reads them.
-type syncedLog struct {
-	mu  sync.Mutex // guards out
-	out strings.Builder
-}
-
-func (l *syncedLog) Write(line []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.out.Write(line)
-}
-
-func (l *syncedLog) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.out.String()
-}
-
 var _ = Describe("the recorder of the fleet", func() {
 	// Guards against a new control leader that knows no backend server until each has announced itself again.
 	It("gives a leader that starts with an empty table what the last one recorded", func() {
@@ -196,7 +177,7 @@
 
 	// Guards against requests that avoid a backend server without a line that says why.
 	It("logs which backend servers fell silent and announced themselves again", func() {
-		var lines syncedLog
+		lines := gbytes.NewBuffer()
 		table, state := fleet.NewTable(), &recorded{controlstate.New()}
 		begin := time.Now().Add(-fleet.SilentAfter)
 		table.Reset(begin, fleet.Epoch(1))
@@ -205,11 +186,11 @@
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			_ = fleet.NewRecorder(table, state, state, slog.New(slog.NewTextHandler(&lines, nil))).Run(ctx, 1)
+			_ = fleet.NewRecorder(table, state, state, slog.New(slog.NewTextHandler(lines, nil))).Run(ctx, 1)
 		}()
-		Eventually(lines.String, 3*time.Second).Should(MatchRegexp("msg=server_silence backend_server=s silent=true .*sequence=7"))
+		Eventually(lines, 3*time.Second).Should(gbytes.Say("msg=server_silence backend_server=s silent=true .*sequence=7"))
 		Expect(table.Announce(time.Now(), stated("s", 1, 8))).To(Succeed())
-		Eventually(lines.String, 3*time.Second).Should(MatchRegexp("msg=server_silence backend_server=s silent=false .*sequence=8"))
+		Eventually(lines, 3*time.Second).Should(gbytes.Say("msg=server_silence backend_server=s silent=false .*sequence=8"))
 		cancel()
 		<-done
 	})
--- a/server/logging/writer_test.go
+++ b/server/logging/writer_test.go
@@ -2,10 +2,11 @@
 
 import (
 	"bytes"
-	"sync"
 	"testing"
 	"time"
 
+	"github.com/onsi/gomega/gbytes"
+
 	"clementinetray/server/logging"
 )
 
@@ -40,26 +41,11 @@
 	w.Close()
 }
 
-type safeBuffer struct {
-	mu  sync.Mutex
-	buf bytes.Buffer
-}
-
-func (b *safeBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buf.Write(p)
-}
-
-func (b *safeBuffer) lines() int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return bytes.Count(b.buf.Bytes(), []byte("line\n"))
-}
+func lines(out *gbytes.Buffer) int { return bytes.Count(out.Contents(), []byte("line\n")) }
 
 // Guards against a log whose volume grows with the load.
 func TestLinesOverTheRateAreDroppedAndCounted(t *testing.T) {
-	out := &safeBuffer{}
+	out := gbytes.NewBuffer()
 	w := logging.NewWriter(out, 10)
 	const sent = 500
 	for range sent {
@@ -67,10 +53,10 @@
 	}
 	w.Close()
 	// The writes may fall into two seconds of the clock.
-	if got := out.lines(); got < 10 || got > 20 {
+	if got := lines(out); got < 10 || got > 20 {
 		t.Fatalf("%d lines were written, want 10 a second", got)
 	}
-	if got := w.Dropped() + uint64(out.lines()); got != sent {
+	if got := w.Dropped() + uint64(lines(out)); got != sent {
 		t.Fatalf("%d lines were written or counted as dropped, want %d", got, sent)
 	}
 }
--- a/standin/e2e/faults_test.go
+++ b/standin/e2e/faults_test.go
@@ -48,17 +48,11 @@
 
 // voters returns the node of each control replica that votes and answers the leader, by replica id.
 func (f *fixture) voters() map[string]string {
-	out := map[string]string{}
 	status, err := f.Status(f.leader())
 	if err != nil {
-		return out
+		return map[string]string{}
 	}
-	for _, r := range status.Replicas {
-		if r.Voter && r.Active {
-			out[r.ID] = r.Node
-		}
-	}
-	return out
+	return site.Voters(status)
 }
 
 // others returns the instances but one.
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -23,8 +23,10 @@
 	forth    gate
 	back     gate
 	// delay is added to each read of either direction, in nanoseconds.
-	delay  atomic.Int64
-	closed chan struct{}
+	delay atomic.Int64
+	// closed is closed by the first Close.
+	closed  chan struct{}
+	closing sync.Once
 
 	mu    sync.Mutex // guards flows
 	flows map[*flow]struct{}
@@ -109,13 +111,7 @@
 func (l *Link) Close() {
 	_ = l.listener.Close()
 	l.Heal()
-	l.mu.Lock()
-	select {
-	case <-l.closed:
-	default:
-		close(l.closed)
-	}
-	l.mu.Unlock()
+	l.closing.Do(func() { close(l.closed) })
 	for _, f := range l.open() {
 		f.close(false)
 	}
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -348,6 +348,17 @@
 	return status, s.operate(http.MethodGet, instance, "/v1/status", nil, status)
 }
 
+// Voters returns the node of each control replica that votes and answers the leader, by replica id.
+func Voters(status *control.StatusReply) map[string]string {
+	out := map[string]string{}
+	for _, r := range status.Replicas {
+		if r.Voter && r.Active {
+			out[r.ID] = r.Node
+		}
+	}
+	return out
+}
+
 // Servers returns the backend servers as operators see them.
 func (s *Site) Servers(instance *Instance) ([]control.ServerStatus, error) {
 	var servers []control.ServerStatus
--- a/standin/soak/backend.go
+++ b/standin/soak/backend.go
@@ -25,9 +25,6 @@
 	// Request is the id that the caller gave the request, Zone that of the backend server.
 	Request, Zone string
 	At            time.Time
-	// Key says which workspace the router named.
-	Workspace string
-	Resumed   bool
 }
 
 // runs records what reached the backend servers.
@@ -52,7 +49,7 @@
 			return
 		}
 		from, _ := strconv.Atoi(q.Header.Get("Last-Event-ID"))
-		r.add(Arrival{Request: id, Zone: zone, At: time.Now(), Workspace: q.Header.Get("Clementinetray-Workspace"), Resumed: from > 0})
+		r.add(Arrival{Request: id, Zone: zone, At: time.Now()})
 		if kind == string(Stream) {
 			streamFrom(w, q, id, from)
 			return
--- a/standin/soak/operators.go
+++ b/standin/soak/operators.go
@@ -76,33 +76,33 @@
 func (s *soak) takeZoneOut(step Step) {
 	s.zones.Lock()
 	defer s.zones.Unlock()
-	zone := []string{"north", "south"}[step.Target%2]
-	subject := "zones/" + zone
-	if s.order(func(i *site.Instance) error { return s.site.Order(i, subject, true) }) {
-		end := s.begin(&s.history.ZonesOut, Span{Begin: time.Now(), Name: zone})
-		time.Sleep(step.For)
-		end()
-	}
-	// Also an order without a confirmation may hold.
-	if !s.order(func(i *site.Instance) error { return s.site.Order(i, subject, false) }) {
-		s.violate(Recovers, "the zone %s could not be brought back in %s", zone, orderLimit)
+	zone := zoneNames[step.Target%len(zoneNames)]
+	order := func(out bool) func(*site.Instance) error {
+		return func(i *site.Instance) error { return s.site.Order(i, "zones/"+zone, out) }
 	}
+	s.hold(step, &s.history.ZonesOut, zone, order(true), order(false))
 }
 
 // revoke withdraws the guest's key for long enough that the limit of cut-off instances passes, and accepts it again.
 func (s *soak) revoke(step Step) {
 	s.keys.Lock()
 	defer s.keys.Unlock()
-	apply := func(keys ...string) bool {
-		return s.order(func(i *site.Instance) error { return s.site.ApplyAt(i, catalogueWith(keys...)) })
+	apply := func(keys ...string) func(*site.Instance) error {
+		return func(i *site.Instance) error { return s.site.ApplyAt(i, catalogueWith(keys...)) }
 	}
-	if apply() {
-		end := s.begin(&s.history.KeysOut, Span{Begin: time.Now()})
+	s.hold(step, &s.history.KeysOut, guestName, apply(), apply(guestKey))
+}
+
+// hold makes a change for the time of the step, notes the span in which it was confirmed, and takes it back.
+func (s *soak) hold(step Step, spans *[]Span, name string, change, back func(*site.Instance) error) {
+	if s.order(change) {
+		end := s.begin(spans, Span{Begin: time.Now(), Name: name})
 		time.Sleep(step.For)
 		end()
 	}
-	if !apply(guestKey) {
-		s.violate(Recovers, "the key could not be accepted again in %s", orderLimit)
+	// Also a change without a confirmation may hold.
+	if !s.order(back) {
+		s.violate(Recovers, "%s of %s could not be taken back in %s", step.Kind, name, orderLimit)
 	}
 }
 
--- a/standin/soak/promises.go
+++ b/standin/soak/promises.go
@@ -41,7 +41,7 @@
 // Span is a time in which something held, such as a zone being out of service. End is zero while it still holds.
 type Span struct {
 	Begin, End time.Time
-	// Name is the zone; Instance the number of the instance.
+	// Name is the zone or the workspace; Instance the number of the instance.
 	Name     string
 	Instance int
 }
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -19,7 +19,6 @@
 	"github.com/zeebo/errs"
 
 	"clementinetray/api/catalogue"
-	"clementinetray/api/control"
 	"clementinetray/standin/engine"
 	"clementinetray/standin/link"
 	"clementinetray/standin/site"
@@ -53,6 +52,9 @@
 	orderLimit = 20 * time.Second
 )
 
+// zoneNames are the availability zones of the site.
+var zoneNames = []string{"north", "south"}
+
 // soak is a running soak.
 type soak struct {
 	Config
@@ -111,7 +113,7 @@
 func (s *soak) start() error {
 	var err error
 	if s.site, err = site.New(site.Config{
-		Binaries: s.Binaries, Dir: s.Dir, Control: s.Size.Control, Entry: s.Size.Entry, Zones: []string{"north", "south"}, Links: true, MaxViewAge: viewLimit,
+		Binaries: s.Binaries, Dir: s.Dir, Control: s.Size.Control, Entry: s.Size.Entry, Zones: zoneNames, Links: true, MaxViewAge: viewLimit,
 	}); err != nil {
 		return err
 	}
@@ -141,8 +143,7 @@
 
 // startServers starts one engine for completions in each zone, and the backend servers of the routes.
 func (s *soak) startServers() error {
-	zones := []string{"north", "south"}
-	for _, zone := range zones {
+	for _, zone := range zoneNames {
 		e, err := engine.Start(engine.Config{
 			ID: "cheap-" + zone, AvailabilityZone: zone, Versions: []catalogue.VersionRef{site.CheapVersion}, Capacity: 64, ColdCapacity: 64,
 			FirstToken: workTime, TokenInterval: time.Millisecond, Tokens: 3, AnnounceTo: s.site.AnnounceTo(),
@@ -153,7 +154,7 @@
 		s.servers = append(s.servers, &server{Engine: e})
 	}
 	for i := range s.Size.Servers {
-		zone, b := zones[i%len(zones)], &server{}
+		zone, b := zoneNames[i%len(zoneNames)], &server{}
 		e, err := engine.Start(engine.Config{
 			ID: "soak-" + strconv.Itoa(i), AvailabilityZone: zone, Service: poolName, Handler: s.runs.handler(zone), Capacity: 64, ColdCapacity: 64,
 			AnnounceTo: s.site.AnnounceTo(),
@@ -384,7 +385,11 @@
 	id := s.site.Instances[target].ID
 	ok := s.until(recoveryLimit, func() bool {
 		status, err := s.status()
-		return err == nil && slices.ContainsFunc(status.Replicas, func(r control.ReplicaStatus) bool { return r.ID == id && r.Voter && r.Active })
+		if err != nil {
+			return false
+		}
+		_, votes := site.Voters(status)[id]
+		return votes
 	})
 	if !ok {
 		s.violate(Recovers, "replica %s does not vote %s after it lost its disk", id, recoveryLimit)
@@ -431,12 +436,7 @@
 		if err != nil {
 			return false
 		}
-		voters = 0
-		for _, r := range status.Replicas {
-			if r.Voter && r.Active {
-				voters++
-			}
-		}
+		voters = len(site.Voters(status))
 		return voters == s.Size.Control
 	}) {
 		s.violate(Recovers, "%d of %d replicas vote after %s", voters, s.Size.Control, recoveryLimit)
