rollout: log what versions of a service are compared by; timeline of a slow version that is kept

It now logs the counts and times of each version on each route once a second while a roll-out runs. No decision changes.

--- a/server/rollout/service.go
+++ b/server/rollout/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"strconv"
 	"sync"
 	"time"
@@ -161,6 +162,7 @@
 	if next.State == r.State && next.Percent == r.Percent && next.Settled == r.Settled && !due {
 		return
 	}
+	c.logComparison(r, next.ElapsedMillis)
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	command := &controlstate.Command{AdvanceServiceRollout: &controlstate.AdvanceServiceRollout{Progress: next}}
@@ -214,6 +216,23 @@
 	return served, reason
 }
 
+// logComparison logs what the decisions on a roll-out are based on: the counts and times of each version on each route.
+func (c *ServiceController) logComparison(r control.ServiceRollout, elapsedMillis int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for key, s := range c.samples {
+		if key.service != r.Service {
+			continue
+		}
+		mean := 0.0
+		if s.timedAnswers > 0 {
+			mean = math.Exp(s.logSum / float64(s.timedAnswers))
+		}
+		c.log.Info("service_rollout_compared", "service", r.Service, "to", r.To, "order", r.Order, "elapsed_millis", elapsedMillis, "percent", r.Percent,
+			"version", key.version, "route", key.route, "requests", s.requests, "failures", s.failures, "timed", s.timedAnswers, "first_millis", int(mean))
+	}
+}
+
 func (s *sample) merge(o *sample) {
 	s.requests += o.requests
 	s.failures += o.failures
