--- a/api/control/messages.go
+++ b/api/control/messages.go
@@ -99,16 +99,23 @@
 	// ElapsedMillis is how long the roll-out had run, in milliseconds, when this state was recorded.
 	ElapsedMillis int64 `json:"elapsed_millis"`
 	// Settled is true after half of the time limit. Existing sessions may then move to To.
-	Settled bool   `json:"settled,omitempty"`
-	Reason  string `json:"reason,omitempty"`
+	Settled bool `json:"settled,omitempty"`
+	// ExposedMillis is the integral of the share of To over that time, in milliseconds at a share of 1.
+	ExposedMillis int64  `json:"exposed_millis,omitempty"`
+	Reason        string `json:"reason,omitempty"`
 	// RolledBack lists the versions whose roll-out was rolled back, Done those whose roll-out succeeded, newest last.
 	RolledBack []string `json:"rolled_back,omitempty"`
 	Done       []string `json:"done,omitempty"`
 }
 
-// InitialRolloutPercent is the share of new sessions and requests, in percent, that a roll-out of a service gives to the
-// new version until it gives it all of them. A few dozen requests are enough to detect a failing version.
-const InitialRolloutPercent = 4
+const (
+	// InitialRolloutPercent is the share of new sessions and requests, in percent, that a roll-out of a service gives to the
+	// new version at first. A few dozen requests are enough to detect a failing version.
+	InitialRolloutPercent = 4
+	// ExtendedRolloutPercent is the share after half of the time limit if the requests so far do not decide whether the
+	// version is good.
+	ExtendedRolloutPercent = 15
+)
 
 // Quarantine is the section of the requests that crashed backend servers.
 type Quarantine struct {
@@ -315,11 +322,6 @@
 	// Service and SoftwareVersion are those of the backend server, set only for requests of a catalogue.Route.
 	Service         string
 	SoftwareVersion string
-	// LogFirstSum and LogFirstSquares are the sums, over Timed attempts, of ln(t) and of its square. t is the time in
-	// milliseconds to the whole answer or to the first event of a stream. They are set only for requests of a
-	// catalogue.Route.
-	LogFirstSum, LogFirstSquares float64
-	Timed                        int
 	// RatingSum is the sum of the scores (0 to 1) that the rating service gave, Ratings their number. LowRatings is the
 	// number of scores below the quality target.
 	RatingSum  float64
@@ -361,6 +363,8 @@
 	Suspects []SuspectReport
 	// RolloutTimes holds how long the running roll-outs of services have run.
 	RolloutTimes []RolloutTime
+	// RolloutSamples holds the totals of the attempts during the running roll-outs of services.
+	RolloutSamples []RolloutSample
 	// Leaving is true if the instance is about to stop.
 	Leaving bool
 }
--- a/server/controlsvc/contract.go
+++ b/server/controlsvc/contract.go
@@ -73,10 +73,13 @@
 	Load(t *control.RatingTable)
 }
 
-// RolloutTimeSink receives the elapsed times of roll-outs that entry instances report. It is safe for concurrent use.
+// ServiceRolloutSink receives what entry instances report on the running roll-outs of services. It is safe for concurrent use.
 // rollout.ServiceController implements it.
-type RolloutTimeSink interface {
+type ServiceRolloutSink interface {
+	// AddRolloutTimes receives for how long the roll-outs have run.
 	AddRolloutTimes(now time.Time, times []control.RolloutTime)
+	// PutRolloutSamples receives the totals of one boot, which replace those that it reported before.
+	PutRolloutSamples(instance, boot string, samples []control.RolloutSample)
 }
 
 // OutcomeSink receives the request outcomes and the reports of suspect backend servers from heartbeats. It receives nothing
--- a/server/controlsvc/rpc.go
+++ b/server/controlsvc/rpc.go
@@ -136,8 +136,9 @@
 			Detail: map[string]string{"member": in.Instance, "boot": in.Boot}})
 	}
 	s.FleetTable.Heartbeat(now, in.Member, in.Leaving)
-	if s.RolloutTimes != nil {
-		s.RolloutTimes.AddRolloutTimes(now, in.RolloutTimes)
+	if s.ServiceRollouts != nil {
+		s.ServiceRollouts.AddRolloutTimes(now, in.RolloutTimes)
+		s.ServiceRollouts.PutRolloutSamples(in.Instance, in.Boot, in.RolloutSamples)
 	}
 	if effect.newCounts {
 		for _, sink := range s.OutcomeSinks {
--- a/server/controlsvc/service.go
+++ b/server/controlsvc/service.go
@@ -44,7 +44,7 @@
 	Call(ctx context.Context, address, method string, args, reply any) error
 }
 
-// Config holds the dependencies of a Service. All fields except OutcomeSinks, RolloutTimes, LeaderControllers,
+// Config holds the dependencies of a Service. All fields except OutcomeSinks, ServiceRollouts, LeaderControllers,
 // ToleratedLosses and Now are required.
 type Config struct {
 	Log   replica.Log
@@ -55,7 +55,7 @@
 	FleetTable        FleetTable
 	Ratings           RatingTable
 	OutcomeSinks      []OutcomeSink
-	RolloutTimes      RolloutTimeSink
+	ServiceRollouts   ServiceRolloutSink
 	LeaderControllers []LeaderController
 	Recorder          event.Recorder
 	Clock             *event.Clock
--- a/server/daemon/control.go
+++ b/server/daemon/control.go
@@ -159,7 +159,7 @@
 	return controlsvc.New(controlsvc.Config{
 		Log: replicatedLog, State: state, Proposer: proposer, Allocator: allocator, FleetTable: table, Ratings: fleetRatings,
 		OutcomeSinks:      []controlsvc.OutcomeSink{lifecycles, modelRollouts, serviceRollouts, fleetRatings},
-		RolloutTimes:      serviceRollouts,
+		ServiceRollouts:   serviceRollouts,
 		LeaderControllers: []controlsvc.LeaderController{lifecycles, modelRollouts, serviceRollouts, fleetRatings, engineOrders, fleetRecorder},
 		Recorder:          recorder, Clock: clock, Peers: pool, Identity: identity, PeerAddress: s.PeerAdvertise, Logger: logger,
 		ToleratedLosses: s.ToleratedLosses,
--- a/server/entry/dispatch.go
+++ b/server/entry/dispatch.go
@@ -97,6 +97,7 @@
 	answered bool
 	// answerMetadata holds the metadata of the answer to a routed request.
 	answerMetadata AnswerMetadata
+	sampleState
 }
 
 // dispatch sends one attempt and returns when the header of the answer has arrived. The caller must close the exchange, also
@@ -106,7 +107,11 @@
 	rq.countedAttempts++
 	x := &exchange{h: h, rq: rq, server: placed.server, id: rq.id + "/" + strconv.Itoa(rq.attemptCount), began: time.Now()}
 	x.ctx, x.cancel = context.WithCancelCause(ctx)
-	x.running = runningAttempt{server: placed.server.ID, boot: placed.server.Boot, cancel: x.cancel}
+	x.running.server, x.running.boot, x.running.cancel = placed.server.ID, placed.server.Boot, x.cancel
+	if rq.routed != nil {
+		x.model, x.targetTime, x.cold = rq.routed.model, rq.routed.route.TargetTime(), placed.cold
+		x.running.exchange = x
+	}
 	h.runningAttempts.add(&x.running)
 	if rq.countedAttempts == 1 && (rq.routed == nil || rq.attemptCount == 1) {
 		h.retryBudget(rq).CountRequest(x.began)
@@ -129,6 +134,7 @@
 	x.running.touch()
 	if rq.routed != nil {
 		x.answerMetadata = h.cfg.Dialect.ReadAnswer(x.response)
+		x.answerBegan(time.Now())
 	}
 	if f := x.checkAnswerID(); f != nil {
 		return x, f
--- a/server/entry/handler.go
+++ b/server/entry/handler.go
@@ -49,6 +49,7 @@
 	// oldVersionSessions holds the sessions that stay on the old version during the first part of a roll-out.
 	oldVersionSessions *keptSessions
 	rollouts           *rolloutTimes
+	rolloutSamples     *rolloutSamples
 	budgetMu           sync.Mutex // guards budgets
 	// budgets holds the retry budget of each service, by service name.
 	budgets map[string]*retry.Budget
@@ -93,7 +94,7 @@
 		bills: newBiller(&cfg, m), sessions: newSessionCache(cfg.SessionCache),
 		answers: newAnswerStore(cfg.AnswerRetention, cfg.AnswerMemory, m), queue: newWaitQueue(cfg.MaxWaiting, m),
 		outcomes: newOutcomeCounts(), latency: newLatencyWatch(), crashes: newCrashCache(), runningAttempts: newRunningAttempts(),
-		balance: balance.NewTracker(), boundSessions: newBoundSessions(), oldVersionSessions: newKeptSessions(), answeredRequests: newAnsweredSet(), rollouts: newRolloutTimes(), budgets: map[string]*retry.Budget{},
+		balance: balance.NewTracker(), boundSessions: newBoundSessions(), oldVersionSessions: newKeptSessions(), answeredRequests: newAnsweredSet(), rollouts: newRolloutTimes(), rolloutSamples: newRolloutSamples(), budgets: map[string]*retry.Budget{},
 		idle: make(chan struct{}), stopBackground: stop,
 	}
 	h.slots = newSlotHolder(&h.cfg)
--- a/server/entry/place.go
+++ b/server/entry/place.go
@@ -23,6 +23,8 @@
 	// firstByteTimeout is how long to wait for the first byte of the answer before another backend server is tried. 0 sets
 	// no limit besides that of the request.
 	firstByteTimeout time.Duration
+	// cold is true if the backend server of a routed request is cold.
+	cold bool
 	// release releases the slots and removes the request from the backend server's running requests. It may be called more than
 	// once.
 	release func()
--- a/server/entry/routed_outcome.go
+++ b/server/entry/routed_outcome.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"math"
 	"time"
 
 	"clementinetray/api/control"
@@ -22,28 +21,46 @@
 		x.rq.setFingerprint()
 		h.answeredRequests.add(x.rq.fingerprint, time.Now())
 	}
-	logFirst := math.Log(max(float64(first.Microseconds())/1000, 1))
+	failures := 0
+	if x.response.StatusCode >= 500 {
+		failures = 1
+	}
 	h.outcomes.update(routedOutcomeKey(x.rq, x.server), func(c *control.Outcome) {
 		c.Requests++
 		c.FirstTokenMillis += first.Milliseconds()
-		c.Timed++
-		c.LogFirstSum += logFirst
-		c.LogFirstSquares += logFirst * logFirst
-		if x.response.StatusCode >= 500 {
-			c.Failures++
-		}
+		c.Failures += failures
+	})
+	x.sample(func(s *control.RolloutSample) {
+		s.Requests++
+		s.Failures += failures
+		x.sampleTime(s, first)
+	})
+}
+
+// countDroppedAnswer counts an answer that was dropped for that of a larger model. Only a roll-out looks at it: its version has
+// answered.
+func (x *exchange) countDroppedAnswer() {
+	first := time.Since(x.began)
+	x.sample(func(s *control.RolloutSample) {
+		s.Requests++
+		x.sampleTime(s, first)
 	})
 }
 
 // countRoutedFailure counts an attempt whose failure points to the software version: a failure answer, or no answer in time.
 // Broken connections aren't counted: their cause is more likely the machine, and one crash breaks the connections of all
 // running requests.
-func (h *Handler) countRoutedFailure(rq *request, server *control.BackendServer, f *attemptError) {
+func (x *exchange) countRoutedFailure(f *attemptError) {
+	x.checkOverdue(time.Now())
 	if f.kind != failStatus && f.kind != failTimeout && f.kind != failNoAnswer || f.notRun {
 		return
 	}
-	h.outcomes.update(routedOutcomeKey(rq, server), func(c *control.Outcome) {
+	x.h.outcomes.update(routedOutcomeKey(x.rq, x.server), func(c *control.Outcome) {
 		c.Requests++
 		c.Failures++
 	})
+	x.sample(func(s *control.RolloutSample) {
+		s.Requests++
+		s.Failures++
+	})
 }
--- a/server/entry/routed_place.go
+++ b/server/entry/routed_place.go
@@ -56,6 +56,7 @@
 	}
 	h.logPlacement(rq, server, &candidates[best], len(candidates), snap)
 	placed := h.newPlacement(rq, server, balanceReq, candidates[best].ColdRate)
+	placed.cold = candidates[best].Cold
 	if call.route.Repeatable() {
 		placed.firstByteTimeout = balance.FirstByteTimeout(balanceReq, &candidates[best], call.route.TargetTime())
 	}
--- a/server/entry/routed_run.go
+++ b/server/entry/routed_run.go
@@ -42,10 +42,19 @@
 		newConnection: call.route.Kind == catalogue.KindNonIdempotent,
 	})
 	defer x.close()
+	if f == nil {
+		placed.onFirstByte()
+		f = h.relayRouted(w, x)
+	}
 	if f != nil {
-		return f
+		x.countRoutedFailure(f)
 	}
-	placed.onFirstByte()
+	return f
+}
+
+// relayRouted relays the answer to the caller, unless it is dropped for an answer of a larger model.
+func (h *Handler) relayRouted(w http.ResponseWriter, x *exchange) *attemptError {
+	rq, call := x.rq, x.rq.routed
 	h.balance.RecordLatency(time.Now(), x.server.ID, time.Since(x.began))
 	if x.answerMetadata.LoadKnown {
 		h.balance.RecordLoad(x.server.ID, x.answerMetadata.Load)
@@ -54,6 +63,7 @@
 		return f
 	}
 	if largerModel := h.chooseLargerModel(rq, x.answerMetadata.Confidence); largerModel != "" {
+		x.countDroppedAnswer()
 		f := x.fail(&attemptError{kind: failLowConfidence, err: Error.New("confidence %d of model %s", x.answerMetadata.Confidence, call.model)})
 		call.model = largerModel
 		return f
@@ -122,7 +132,6 @@
 		rq.mayHaveRun = true
 		return nil
 	}
-	h.countRoutedFailure(rq, server, f)
 	if f.isServerFault() {
 		h.balance.RecordFailure(now, server.ID)
 	}
--- a/server/entry/routed_stream.go
+++ b/server/entry/routed_stream.go
@@ -85,6 +85,7 @@
 			h.balance.RecordEventInterval(now, x.server.ID, now.Sub(last))
 		}
 		last = now
+		x.sampleInterval(count, now.Sub(x.began)-first, false)
 		if !call.answerStarted {
 			call.answerStarted = true
 			h.metrics.firstTokenSeconds.Observe(time.Since(x.rq.start).Seconds())
@@ -104,6 +105,7 @@
 		}
 	}
 	x.recordSuccess()
+	x.sampleInterval(count, last.Sub(x.began)-first, true)
 	h.countRoutedAnswer(x, first)
 	h.logAnswer(x, "stream_ended", "first", first, "longest_pause", longestPause, "events", count)
 	if !call.answerStarted {
--- a/server/entry/watch.go
+++ b/server/entry/watch.go
@@ -32,6 +32,8 @@
 	cancel       context.CancelCauseFunc
 	// lastActive is the time of the start or of the last data received, in Unix nanoseconds.
 	lastActive atomic.Int64
+	// exchange is the attempt of a routed request, nil for other requests.
+	exchange *exchange
 }
 
 func newRunningAttempts() *runningAttempts {
@@ -51,6 +53,15 @@
 	delete(r.attempts, a)
 }
 
+// forEach calls visit for each running attempt.
+func (r *runningAttempts) forEach(visit func(*runningAttempt)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for a := range r.attempts {
+		visit(a)
+	}
+}
+
 // touch records that data was received now.
 func (a *runningAttempt) touch() { a.lastActive.Store(time.Now().UnixNano()) }
 
--- a/server/rollout/service_comparison.go
+++ b/server/rollout/service_comparison.go
@@ -2,148 +2,358 @@
 
 import (
 	"math"
-	"time"
 
 	"clementinetray/api/control"
 )
 
-// sample adds up the attempts on one software version of a service, for one route or over all routes.
-type sample struct {
-	requests, failures int
-	// logSum and logSquares add up the natural logarithm of the time to the first byte in milliseconds, and its square,
-	// over timedAnswers answers.
-	logSum, logSquares float64
-	timedAnswers       int
+// The tests for services detect a failure rate 20 percentage points above that of the old version, as faults of single backend
+// servers raise the failure rate of a version by less, and a share of overdue answers 30 points above.
+var (
+	serviceErrorPlan   = Plan{Alpha: 0.001, Beta: 0.01, Difference: 0.2}
+	serviceOverduePlan = Plan{Alpha: 0.001, Beta: 0.01, Difference: 0.3}
+)
+
+const (
+	// priorRequests is the weight, in requests, of the assumption that a version seldom fails.
+	priorRequests = 20
+	// minSoundRate limits how far sequentialTest.baseFactor lowers the rate that the new version is compared with: single
+	// backend servers of the new version may fail, too.
+	minSoundRate = 0.05
+	// routeRateWindow is the number of requests on the old version beyond which its rates on a route scale older ones down,
+	// so that a fault that hits both versions counts for both.
+	routeRateWindow = 400
+	// minRouteShare is the smallest share of the requests that a route needs to be judged by itself before a version is
+	// accepted.
+	minRouteShare = 0.1
+	// oldTimesWindow and newTimesWindow are the same for the times of one route and model. The window of the new version is
+	// shorter, so that one that turns slow is not hidden by its earlier answers.
+	oldTimesWindow = 300
+	newTimesWindow = 30
+
+	// minSlowRatio is the smallest ratio of the times to the first event, new version to old, at which the new version counts
+	// as slower. The time depends on the size of the request, so a smaller ratio is no evidence. minSlowIntervalRatio is the
+	// same for the times between events, which depend on the load of the backend server only.
+	minSlowRatio         = 2.2
+	minSlowIntervalRatio = 1.8
+	// slowStdErrors is the number of standard errors by which the means of the logarithms must differ.
+	slowStdErrors = 3.5
+	// acceptStdErrors is the number of standard errors by which the difference must be below the one that counts as slower
+	// before the new version is taken for as fast as the old one.
+	acceptStdErrors = 2
+	// minTimes and minIntervals are the numbers of times of the new version that a comparison needs. minOldTimes is how many
+	// of the old version each route and model needs.
+	minTimes     = 6
+	minIntervals = 4
+	minOldTimes  = 3
+	// minLogVariance is the smallest variance of the logarithms: times of a few milliseconds vary by that much anyway.
+	minLogVariance = 0.05
+	// minLogRatio is the lowest log likelihood ratio that is passed to Plan.Clamp.
+	minLogRatio = -100
+)
+
+// stratum names attempts whose times can be compared: those of one route that run on one model.
+type stratum struct{ route, model string }
+
+// windowedTimes adds up logarithms of times, and scales older ones down beyond a window.
+type windowedTimes struct{ count, sum, squares float64 }
+
+func (w *windowedTimes) add(t control.LogTimes, window float64) {
+	w.count += float64(t.Count)
+	w.sum += t.Sum
+	w.squares += t.Squares
+	if w.count > window {
+		scale := window / w.count
+		w.count, w.sum, w.squares = window, w.sum*scale, w.squares*scale
+	}
 }
 
-func (s *sample) add(o *control.Outcome) {
-	s.requests += o.Requests
-	s.failures += o.Failures
-	s.timedAnswers += o.Timed
-	s.logSum += o.LogFirstSum
-	s.logSquares += o.LogFirstSquares
+func (w *windowedTimes) mean() float64 { return w.sum / w.count }
+
+func (w *windowedTimes) variance() float64 {
+	return max(w.squares/w.count-w.mean()*w.mean(), minLogVariance)
 }
 
-// failureRate returns an estimate of the share of failed attempts. It starts from half a failed request in priorRequests
-// requests, so that the estimate for a version with few requests is not zero.
-func (s *sample) failureRate() float64 {
-	return (float64(s.failures) + 0.5) / (float64(s.requests) + priorRequests)
+// versionTimes holds one kind of times of both versions.
+type versionTimes struct{ old, fresh windowedTimes }
+
+// timeDifference is the mean difference of the logarithms of times, new version minus old, over the strata of both.
+type timeDifference struct {
+	// count is the number of times of the new version. mean and stdError are in natural logarithms.
+	count, mean, stdError float64
 }
 
-// priorRequests is the weight, in requests, of the assumption that a version seldom fails.
-const priorRequests = 20
+// compareTimes compares each time of the new version with the mean of the old version in the same stratum. The versions may
+// have other shares of the routes and models, whose times differ more than those of good and bad versions.
+func compareTimes(strata []*versionTimes) timeDifference {
+	var d timeDifference
+	var squares, oldVariance float64
+	for _, s := range strata {
+		if s.old.count < minOldTimes || s.fresh.count == 0 {
+			continue
+		}
+		mean, n := s.old.mean(), s.fresh.count
+		d.count += n
+		d.mean += s.fresh.sum - n*mean
+		squares += s.fresh.squares - 2*mean*s.fresh.sum + n*mean*mean
+		oldVariance += n * n * s.old.variance() / s.old.count
+	}
+	if d.count == 0 {
+		return d
+	}
+	d.mean /= d.count
+	newVariance := max(squares/d.count-d.mean*d.mean, minLogVariance)
+	d.stdError = math.Sqrt(newVariance/d.count + oldVariance/(d.count*d.count))
+	return d
+}
 
-// serviceErrorPlan detects a failure rate 20 percentage points above that of the old version. Faults of single backend
-// servers raise the failure rate of a version by less.
-var serviceErrorPlan = Plan{Alpha: 0.001, Beta: 0.01, Difference: 0.2}
+func (d timeDifference) isSlower(minCount, minRatio float64) bool {
+	return d.count >= minCount && d.mean > math.Log(minRatio) && d.mean > slowStdErrors*d.stdError
+}
 
-const (
-	// minSlowRatio is the smallest ratio of the geometric mean times to the first byte, new version to old, at which the new
-	// version counts as slower. The time of a request depends on its size, so a smaller ratio is no evidence.
-	minSlowRatio = 2.2
-	// slowStdErrors is the number of standard errors by which the means of the logarithms must differ.
-	slowStdErrors = 3.5
-	// minTimedAnswers is how many answers with a measured time a comparison needs of each version.
-	minTimedAnswers = 6
-)
+func (d timeDifference) isAsFast(minCount, minRatio float64) bool {
+	return d.count >= minCount && d.mean+acceptStdErrors*d.stdError < math.Log(minRatio)
+}
+
+// sequentialTest compares the share of hits, for instance failures, between the versions, on each route and over all of them.
+// The requests of a route are compared with the old version's on that route.
+type sequentialTest struct {
+	plan     Plan
+	oldRates map[string]*routeRate
+	ratios   map[string]float64
+	overall  float64
+	// baseFactor is multiplied with the rates of the old version, so that the faults of single backend servers don't count as
+	// the version's.
+	baseFactor float64
+}
+
+// routeRate is the rate of the old version on a route. seen is the number of all requests, also of those that the rate no longer
+// includes.
+type routeRate struct {
+	rate
+	seen float64
+}
+
+func newSequentialTest(plan Plan) sequentialTest {
+	return sequentialTest{plan: plan, oldRates: map[string]*routeRate{}, ratios: map[string]float64{}, baseFactor: 1}
+}
 
-// compareSamples reports whether the new version, the candidate, does worse than the old one, and returns the fault.
-func compareSamples(old, candidate *sample) (string, bool) {
-	base := old.failureRate()
-	if _, verdict := serviceErrorPlan.Clamp(max(serviceErrorPlan.LogRatioIncrement(candidate.requests, candidate.failures, base), minLogRatio)); verdict == Bad {
-		return "fails more often than the old version", true
+// addOld adds requests on the old version, and addNew those on the new one.
+func (t *sequentialTest) addOld(route string, total, hits int) {
+	if t.oldRates[route] == nil {
+		t.oldRates[route] = &routeRate{}
 	}
-	if isSlower(old, candidate) {
-		return "answers more slowly than the old version", true
+	t.oldRates[route].seen += float64(total)
+	t.oldRates[route].add(float64(total), float64(hits), routeRateWindow)
+}
+
+func (t *sequentialTest) addNew(route string, total, hits int) {
+	if total <= 0 {
+		return
 	}
-	return "", false
+	old := t.oldRates[route]
+	if old == nil {
+		old = &routeRate{}
+	}
+	base := (old.hits + 0.5) / (old.total + priorRequests)
+	base = max(base*t.baseFactor, min(base, minSoundRate))
+	increment := max(t.plan.LogRatioIncrement(total, hits, base), minLogRatio)
+	t.ratios[route], _ = t.plan.Clamp(t.ratios[route] + increment)
+	t.overall, _ = t.plan.Clamp(t.overall + increment)
 }
 
-// minLogRatio is the lowest log likelihood ratio that is passed to Plan.Clamp.
-const minLogRatio = -100
+// badRoute returns the route on which the new version is worse; worse says whether it is worse at all.
+func (t *sequentialTest) badRoute() (route string, worse bool) {
+	if _, verdict := t.plan.Clamp(t.overall); verdict == Bad {
+		return "", true
+	}
+	for route, ratio := range t.ratios {
+		if _, verdict := t.plan.Clamp(ratio); verdict == Bad {
+			return route, true
+		}
+	}
+	return "", false
+}
 
-// isSlower reports whether the candidate is slower. It compares the means of the logarithms of the times to the first
-// byte.
-func isSlower(old, candidate *sample) bool {
-	if old.timedAnswers < minTimedAnswers || candidate.timedAnswers < minTimedAnswers {
+// accepts reports whether the new version does no worse over all routes and, with half of that evidence, on each route that has
+// minRouteShare or more of the requests.
+func (t *sequentialTest) accepts() bool {
+	if _, verdict := t.plan.Clamp(t.overall); verdict != Accepted {
 		return false
 	}
-	oldMean, candidateMean := old.logSum/float64(old.timedAnswers), candidate.logSum/float64(candidate.timedAnswers)
-	difference := candidateMean - oldMean
-	deviation := math.Sqrt(old.logVariance()/float64(old.timedAnswers) + candidate.logVariance()/float64(candidate.timedAnswers))
-	return difference > math.Log(minSlowRatio) && difference > slowStdErrors*deviation
+	requests := 0.0
+	for _, old := range t.oldRates {
+		requests += old.seen
+	}
+	accept, _ := t.plan.Bounds()
+	for route, old := range t.oldRates {
+		if t.ratios[route] > accept/2 && old.seen >= minRouteShare*requests {
+			return false
+		}
+	}
+	return true
 }
 
-// logVariance returns the variance of the logarithms, but at least minLogVariance: times of a few milliseconds vary by
-// that much anyway.
-func (s *sample) logVariance() float64 {
-	mean := s.logSum / float64(s.timedAnswers)
-	return max(s.logSquares/float64(s.timedAnswers)-mean*mean, minLogVariance)
+// sampleKey identifies the totals of one version in one stratum.
+type sampleKey struct {
+	stratum
+	isNew bool
 }
 
-const minLogVariance = 0.05
+// serviceEvidence is what the attempts during a roll-out say about the new version.
+type serviceEvidence struct {
+	// counted holds the totals that the tests include already.
+	counted           map[sampleKey]control.RolloutSample
+	failures, overdue sequentialTest
+	first, interval   map[stratum]*versionTimes
+	// served and failed count the attempts on the new version.
+	served, failed int
+}
 
-// schedule says after which percentage of its time limit a roll-out changes state.
-type schedule struct {
-	// From allFromPercent on, all requests go to the new version. The roll-out of a version without faults is done at
-	// doneFromPercent. Open streams on the old version can end in the time between.
-	allFromPercent, doneFromPercent int
+func newServiceEvidence() *serviceEvidence {
+	return &serviceEvidence{
+		counted: map[sampleKey]control.RolloutSample{}, failures: newSequentialTest(serviceErrorPlan), overdue: newSequentialTest(serviceOverduePlan),
+		first: map[stratum]*versionTimes{}, interval: map[stratum]*versionTimes{},
+	}
 }
 
-// scheduleFor returns a schedule that sends at most the share exposure of the requests during a roll-out to the new
-// version, even if no fault is found. A version that fails only under load, or only after some time, may show no fault
-// before it serves all requests.
-func scheduleFor(exposure float64) schedule {
-	const smallShare = control.InitialRolloutPercent / 100.0
-	boundPercent := 100 * exposure * exposureMargin
-	// Solves smallShare*(all-startFromPercent) + (100-all) = boundPercent.
-	all := int(math.Ceil((100 - smallShare*startFromPercent - boundPercent) / (1 - smallShare)))
-	all = min(max(all, settledFromPercent), latestAllPercent)
-	return schedule{allFromPercent: all, doneFromPercent: min(all+allRequestsPercent, latestDonePercent)}
+// update includes what the totals have grown by since the last update. soundFraction is the result of
+// serverRates.soundFraction. The old version comes first, so that a fault that began
+// on both is in the rates that the new one is compared with.
+func (e *serviceEvidence) update(totals map[sampleKey]control.RolloutSample, soundFraction float64) {
+	e.failures.baseFactor = soundFraction
+	for _, isNew := range []bool{false, true} {
+		for key, total := range totals {
+			if key.isNew == isNew {
+				e.add(key, growth(total, e.counted[key]))
+				e.counted[key] = total
+			}
+		}
+	}
 }
 
-const (
-	// startFromPercent is the percentage of the time limit after which requests may go to the new version. Before that, entry
-	// instances exchange which sessions are open, because these stay on the old version. The shortest roll-outs, of 16 s,
-	// leave 1.3 s for this exchange.
-	startFromPercent = 8
-	// settledFromPercent is the percentage of the time limit after which sessions may move to the new version.
-	settledFromPercent = 50
-	// allRequestsPercent is the percentage of the time limit for which all requests go to the new version before the
-	// roll-out is done: 0.8 s in the shortest roll-outs, of 16 s. latestAllPercent and latestDonePercent are the upper
-	// limits of the schedule. In the shortest roll-outs, 0.6 s lie between the two, and 0.6 s remain after
-	// latestDonePercent for the commit and the operator's query.
-	allRequestsPercent = 5
-	latestAllPercent   = 92
-	latestDonePercent  = 96
-	// exposureMargin is the planned fraction of the allowed exposure. It is below 1 because the load may vary during a
-	// roll-out.
-	exposureMargin = 0.95
-	// minServiceRequests is the number of requests that the new version must have served before the roll-out is done.
-	minServiceRequests = 5
-)
+// growth returns the difference of two totals.
+func growth(total, before control.RolloutSample) control.RolloutSample {
+	total.Requests -= before.Requests
+	total.Failures -= before.Failures
+	total.Prompt -= before.Prompt
+	total.Overdue -= before.Overdue
+	total.First = timesGrowth(total.First, before.First)
+	total.Interval = timesGrowth(total.Interval, before.Interval)
+	return total
+}
+
+func timesGrowth(total, before control.LogTimes) control.LogTimes {
+	return control.LogTimes{Count: total.Count - before.Count, Sum: total.Sum - before.Sum, Squares: total.Squares - before.Squares}
+}
+
+func (e *serviceEvidence) add(key sampleKey, s control.RolloutSample) {
+	first, interval := timesOf(e.first, key.stratum), timesOf(e.interval, key.stratum)
+	if !key.isNew {
+		e.failures.addOld(key.route, s.Requests, s.Failures)
+		e.overdue.addOld(key.route, s.Prompt+s.Overdue, s.Overdue)
+		first.old.add(s.First, oldTimesWindow)
+		interval.old.add(s.Interval, oldTimesWindow)
+		return
+	}
+	e.served += s.Requests
+	e.failed += s.Failures
+	e.failures.addNew(key.route, s.Requests, s.Failures)
+	e.overdue.addNew(key.route, s.Prompt+s.Overdue, s.Overdue)
+	first.fresh.add(s.First, newTimesWindow)
+	interval.fresh.add(s.Interval, newTimesWindow)
+}
+
+func timesOf(m map[stratum]*versionTimes, key stratum) *versionTimes {
+	if m[key] == nil {
+		m[key] = &versionTimes{}
+	}
+	return m[key]
+}
+
+// routes returns the routes that have times.
+func (e *serviceEvidence) routes() map[string]bool {
+	routes := map[string]bool{}
+	for key := range e.first {
+		routes[key.route] = true
+	}
+	return routes
+}
 
-// nextProgress returns the progress of a roll-out that has run for elapsed. served is the number of requests that the new
-// version has served; reason is the fault that was found, or empty.
-func nextProgress(r control.ServiceRollout, sched schedule, elapsed time.Duration, served int, reason string) control.ServiceRollout {
-	next := r
-	next.ElapsedMillis = elapsed.Milliseconds()
-	limit := time.Duration(r.Seconds) * time.Second
-	elapsedPercent := int(100 * elapsed / max(limit, time.Millisecond))
-	switch {
-	case reason != "":
-		next.State, next.Reason = control.RolloutRolledBack, reason
-	case elapsedPercent >= sched.doneFromPercent && served >= minServiceRequests:
-		next.State, next.Reason = control.RolloutDone, "no fault was found"
-	case elapsedPercent >= 100:
-		next.State, next.Reason = control.RolloutRolledBack, "too few requests to judge the version"
-	}
-	switch {
-	case elapsedPercent >= sched.allFromPercent:
-		next.Percent = 100
-	case elapsedPercent >= startFromPercent:
-		next.Percent = max(r.Percent, control.InitialRolloutPercent)
-	}
-	next.Settled = r.Settled || elapsedPercent >= settledFromPercent
-	return next
+// selectTimes returns the times on a route, or on all routes if it is empty.
+func selectTimes(m map[stratum]*versionTimes, route string) []*versionTimes {
+	var out []*versionTimes
+	for key, times := range m {
+		if route == "" || key.route == route {
+			out = append(out, times)
+		}
+	}
+	return out
+}
+
+// verdict is what a roll-out knows about its new version.
+type verdict struct {
+	// served is the number of attempts on the new version.
+	served int
+	// fault says how the new version is worse; empty if it is not known to be.
+	fault string
+	// accepted is set if the attempts show that the new version is as good as the old one. Otherwise missing says what they
+	// do not show yet.
+	accepted bool
+	missing  string
+}
+
+// judge compares the versions over all routes and on each route, because a version may be bad on one route only.
+func (e *serviceEvidence) judge() verdict {
+	v := verdict{served: e.served}
+	if route, worse := e.failures.badRoute(); worse {
+		v.fault = onRoute("fails more often than the old version", route)
+		return v
+	}
+	if route, worse := e.overdue.badRoute(); worse {
+		v.fault = onRoute("begins more answers too late than the old version", route)
+		return v
+	}
+	routes := e.routes()
+	routes[""] = true
+	for route := range routes {
+		if compareTimes(selectTimes(e.first, route)).isSlower(minTimes, minSlowRatio) {
+			v.fault = onRoute("answers more slowly than the old version", route)
+			return v
+		}
+		if compareTimes(selectTimes(e.interval, route)).isSlower(minIntervals, minSlowIntervalRatio) {
+			v.fault = onRoute("pauses longer between events than the old version", route)
+			return v
+		}
+	}
+	v.missing = e.missing()
+	v.accepted = v.missing == ""
+	return v
+}
+
+func onRoute(fault, route string) string {
+	if route == "" {
+		return fault
+	}
+	return fault + " on route " + route
+}
+
+// missing returns what the attempts do not show yet, or an empty string if the new version is as good as the old one.
+func (e *serviceEvidence) missing() string {
+	if !e.failures.accepts() {
+		return "that it fails no more often"
+	}
+	if e.overdue.overall > 0 {
+		return "that its answers begin in time"
+	}
+	if !compareTimes(selectTimes(e.first, "")).isAsFast(minTimes, minSlowRatio) {
+		return "that it answers as fast"
+	}
+	oldIntervals := 0.0
+	for _, times := range e.interval {
+		oldIntervals += times.old.count
+	}
+	if oldIntervals >= minIntervals && !compareTimes(selectTimes(e.interval, "")).isAsFast(minIntervals, minSlowIntervalRatio) {
+		return "that its streams are as fast"
+	}
+	return ""
 }
--- /dev/null
+++ b/server/rollout/service_schedule.go
@@ -0,0 +1,57 @@
+package rollout
+
+import (
+	"time"
+
+	"clementinetray/api/control"
+)
+
+const (
+	// startFromPercent is the percentage of the time limit after which requests may go to the new version. Before that, entry
+	// instances exchange which sessions are open, because these stay on the old version. The shortest roll-outs, of 16 s,
+	// leave 1.3 s for this exchange.
+	startFromPercent = 8
+	// settledFromPercent is the percentage of the time limit after which sessions may move to the new version.
+	settledFromPercent = 50
+	// doneFromPercent is the percentage of the time limit after which the roll-out of an accepted version is done. In the
+	// shortest roll-outs 0.6 s remain for the commit and the operator's query. Before that, all requests go to the new version
+	// for as long as the exposure allows, but from latestAllPercent on at the latest.
+	doneFromPercent  = 96
+	latestAllPercent = 94
+	// exposureMargin is the planned fraction of the allowed exposure. It is below 1 because the load may vary during a
+	// roll-out.
+	exposureMargin = 0.95
+)
+
+// nextProgress returns the progress of a roll-out that has run for elapsed. A version is kept only if the requests show that it
+// is as good as the old one. Too few of them lead to a larger share at first, and to a rollback at the time limit. exposure is
+// the largest share, 0 to 1, of the requests within the time limit that may go to a version that turns out to be bad.
+func nextProgress(r control.ServiceRollout, exposure float64, elapsed time.Duration, v verdict) control.ServiceRollout {
+	next := r
+	limit := time.Duration(r.Seconds) * time.Second
+	next.ElapsedMillis = elapsed.Milliseconds()
+	next.ExposedMillis = r.ExposedMillis + (next.ElapsedMillis-r.ElapsedMillis)*int64(r.Percent)/100
+	elapsedPercent := int(100 * elapsed / max(limit, time.Millisecond))
+	switch {
+	case v.fault != "":
+		next.State, next.Reason = control.RolloutRolledBack, v.fault
+	case elapsedPercent >= doneFromPercent && v.accepted:
+		next.State, next.Reason = control.RolloutDone, "no fault was found"
+	case elapsedPercent >= 100:
+		next.State, next.Reason = control.RolloutRolledBack, "too few requests to show "+v.missing
+	}
+	// A version that fails only under load, or only after some time, may show no fault before it serves all requests.
+	exposed := time.Duration(next.ExposedMillis)*time.Millisecond + limit - elapsed
+	allowed := time.Duration(exposure * exposureMargin * float64(limit))
+	mayServeAll := elapsedPercent >= latestAllPercent || elapsedPercent >= settledFromPercent && exposed <= allowed
+	switch {
+	case mayServeAll && v.accepted:
+		next.Percent = 100
+	case elapsedPercent >= settledFromPercent && !v.accepted:
+		next.Percent = max(r.Percent, control.ExtendedRolloutPercent)
+	case elapsedPercent >= startFromPercent:
+		next.Percent = max(r.Percent, control.InitialRolloutPercent)
+	}
+	next.Settled = r.Settled || elapsedPercent >= settledFromPercent
+	return next
+}
--- a/server/rollout/service_test.go
+++ b/server/rollout/service_test.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"math"
 	"math/rand/v2"
+	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -13,24 +15,40 @@
 	"clementinetray/server/controlstate"
 )
 
-// sampleOf returns a sample of requests whose times to the first byte vary around a typical one.
-func sampleOf(rng *rand.Rand, requests int, failing float64, typical time.Duration) *sample {
-	s := &sample{}
+// drawSample returns the totals of attempts on one version, whose times to the first event vary around a typical one.
+func drawSample(rng *rand.Rand, isNew bool, requests int, failing float64, typical time.Duration) control.RolloutSample {
+	s := control.RolloutSample{Service: "pool", Order: 1, Route: "drafts", New: isNew, Requests: requests}
 	for range requests {
-		o := control.Outcome{Requests: 1}
 		if rng.Float64() < failing {
-			o.Failures = 1
-		} else {
-			log := math.Log(float64(typical.Milliseconds())) + rng.NormFloat64()
-			o.Timed, o.LogFirstSum, o.LogFirstSquares = 1, log, log*log
+			s.Failures++
+			continue
 		}
-		s.add(&o)
+		s.First = withTimes(s.First, math.Log(float64(typical.Milliseconds()))+rng.NormFloat64())
 	}
 	return s
 }
 
+// withTimes returns the times with further logarithms.
+func withTimes(t control.LogTimes, logs ...float64) control.LogTimes {
+	for _, log := range logs {
+		t.Count++
+		t.Sum += log
+		t.Squares += log * log
+	}
+	return t
+}
+
+// judgeSamples returns the verdict on totals that arrive at once.
+func judgeSamples(samples ...control.RolloutSample) verdict {
+	c := NewServiceController(nil, nil, 0.15, nil, nil)
+	c.PutRolloutSamples("e1", "boot", samples)
+	e := newServiceEvidence()
+	e.update(c.sumSamples(control.ServiceRollout{Service: "pool", Order: 1, To: "v2"}))
+	return e.judge()
+}
+
 // Guards against a bad version that is kept, and a good one that is rolled back.
-func TestCompareSamples(t *testing.T) {
+func TestJudgeSamples(t *testing.T) {
 	cases := []struct {
 		desc                  string
 		oldFails, newFails    float64
@@ -50,7 +68,7 @@
 		t.Run(c.desc, func(t *testing.T) {
 			rng, bad := rand.New(rand.NewPCG(1, 2)), 0
 			for range 100 {
-				if _, found := compareSamples(sampleOf(rng, 300, c.oldFails, c.oldFirst), sampleOf(rng, c.requests, c.newFails, c.newFirst)); found {
+				if judgeSamples(drawSample(rng, false, 300, c.oldFails, c.oldFirst), drawSample(rng, true, c.requests, c.newFails, c.newFirst)).fault != "" {
 					bad++
 				}
 			}
@@ -61,32 +79,168 @@
 	}
 }
 
+// Guards against a version that is kept because too few requests say anything, or because nothing says that it is bad.
+func TestVersionIsAcceptedOnEvidenceOnly(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 4))
+	old := drawSample(rng, false, 300, 0.01, 100*time.Millisecond)
+	good := drawSample(rng, true, 30, 0, 100*time.Millisecond)
+	if v := judgeSamples(old, good); !v.accepted {
+		t.Errorf("30 good answers are not enough: %+v", v)
+	}
+	for desc, fresh := range map[string]control.RolloutSample{
+		"nine answers without a fault": drawSample(rng, true, 9, 0, 100*time.Millisecond),
+		"answers without times":        {Service: "pool", Order: 1, Route: "drafts", New: true, Requests: 30},
+		"a sixth of the answers fails": {Service: "pool", Order: 1, Route: "drafts", New: true, Requests: 30, Failures: 5, First: good.First},
+	} {
+		if v := judgeSamples(old, fresh); v.accepted || v.missing == "" && v.fault == "" {
+			t.Errorf("%s are accepted: %+v", desc, v)
+		}
+	}
+	streams := old
+	streams.Interval = withTimes(streams.Interval, 3.5, 3.5, 3.6, 3.5)
+	if v := judgeSamples(streams, good); v.accepted {
+		t.Errorf("a version whose streams are unknown is accepted: %+v", v)
+	}
+}
+
+// Guards against a slow version that is kept because its streams begin in time, and against one that is taken for slow because
+// more of its requests run on the larger model.
+func TestStreamsThatAreSlowBetweenEvents(t *testing.T) {
+	sample := func(model string, isNew bool, n int, first, interval float64) control.RolloutSample {
+		s := control.RolloutSample{Service: "pool", Order: 1, Route: "drafts", Model: model, New: isNew, Requests: n, Prompt: n}
+		for i := range n {
+			spread := 0.3 * float64(i%3-1)
+			s.First, s.Interval = withTimes(s.First, math.Log(first)+spread), withTimes(s.Interval, math.Log(interval)+spread)
+		}
+		return s
+	}
+	old := []control.RolloutSample{sample("small", false, 200, 100, 33), sample("large", false, 50, 400, 330)}
+	if v := judgeSamples(append(old, sample("small", true, 6, 110, 130))...); v.fault == "" {
+		t.Errorf("a version with four times the pauses is not found after six streams: %+v", v)
+	}
+	if v := judgeSamples(append(old, sample("small", true, 4, 100, 33), sample("large", true, 30, 400, 330))...); v.fault != "" || !v.accepted {
+		t.Errorf("a version with more requests on the larger model: %+v", v)
+	}
+}
+
+// Guards against a hanging version that is kept because its callers leave before an answer or a failure.
+func TestOverdueAnswers(t *testing.T) {
+	old := control.RolloutSample{Service: "pool", Order: 1, Route: "drafts", Requests: 300, Prompt: 298, Overdue: 2}
+	fresh := control.RolloutSample{Service: "pool", Order: 1, Route: "drafts", New: true, Requests: 6, Prompt: 6, Overdue: 6}
+	if v := judgeSamples(old, fresh); v.fault == "" {
+		t.Errorf("a version with half of its answers overdue is not found: %+v", v)
+	}
+}
+
+// Guards against a version that is kept beside failing backend servers of the old version, which hide that it fails on each of
+// its own.
+func TestFailingBackendServersDontHideABadVersion(t *testing.T) {
+	c := NewServiceController(nil, nil, 0.15, nil, slog.New(slog.DiscardHandler))
+	var outcomes []control.Outcome
+	for i := range 18 {
+		failures := 0
+		if i < 11 {
+			failures = 30
+		}
+		outcomes = append(outcomes, control.Outcome{Service: "pool", SoftwareVersion: "v1", BackendServer: strconv.Itoa(i), Requests: 100, Failures: failures})
+	}
+	c.AddOutcomes(time.Now(), "e1", outcomes)
+	judge := func(old, fresh control.RolloutSample) verdict {
+		c.PutRolloutSamples("e1", "boot", []control.RolloutSample{old, fresh})
+		e := newServiceEvidence()
+		e.update(c.sumSamples(control.ServiceRollout{Service: "pool", Order: 1, To: "v2"}))
+		return e.judge()
+	}
+	// A version that fails in 3 of 10 requests has its 50th bad answer after about 167.
+	const requests = 100
+	rng, found, lost := rand.New(rand.NewPCG(5, 6)), 0, 0
+	for range 100 {
+		old := drawSample(rng, false, 1500, 0.18, 100*time.Millisecond)
+		if judge(old, drawSample(rng, true, requests, 0.3, 100*time.Millisecond)).fault != "" {
+			found++
+		}
+		if judge(old, drawSample(rng, true, requests, 0.01, 100*time.Millisecond)).fault != "" {
+			lost++
+		}
+	}
+	if found < 98 || lost > 2 {
+		t.Errorf("of 100 draws a failing version was found in %d and a sound one rolled back in %d; want at least 98 and at most 2", found, lost)
+	}
+}
+
+// Guards against a version that turns bad late, under all requests, and is hidden by its earlier good answers.
+func TestVersionThatTurnsBadLate(t *testing.T) {
+	for desc, change := range map[string]func(*control.RolloutSample){
+		"fails": func(s *control.RolloutSample) { s.Failures += 12 },
+		"slow":  func(s *control.RolloutSample) { s.Interval = withTimes(s.Interval, slices.Repeat([]float64{5}, 24)...) },
+	} {
+		old := control.RolloutSample{Service: "pool", Order: 1, Route: "drafts", Requests: 2000, Failures: 20, Interval: withTimes(control.LogTimes{}, slices.Repeat([]float64{3.4, 3.6}, 500)...)}
+		fresh := control.RolloutSample{Service: "pool", Order: 1, Route: "drafts", New: true, Requests: 200, Failures: 2, Interval: withTimes(control.LogTimes{}, slices.Repeat([]float64{3.4, 3.6}, 100)...)}
+		e := newServiceEvidence()
+		totals := map[sampleKey]control.RolloutSample{{stratum{route: "drafts"}, false}: old, {stratum{route: "drafts"}, true}: fresh}
+		e.update(totals, 1)
+		if v := e.judge(); v.fault != "" {
+			t.Fatalf("the good answers: %+v", v)
+		}
+		fresh.Requests += 24
+		change(&fresh)
+		totals[sampleKey{stratum{route: "drafts"}, true}] = fresh
+		e.update(totals, 1)
+		if v := e.judge(); v.fault == "" {
+			t.Errorf("a version that turned bad (%s) is not found: %+v", desc, v)
+		}
+	}
+}
+
+// Guards against evidence that is lost with the control leader, or counted twice when a heartbeat is sent again: entry
+// instances report totals.
+func TestNewLeaderHasTheWholeEvidence(t *testing.T) {
+	rng := rand.New(rand.NewPCG(7, 8))
+	report := []control.RolloutSample{drawSample(rng, false, 300, 0.01, 100*time.Millisecond), drawSample(rng, true, 25, 0.5, 100*time.Millisecond)}
+	began := time.Now()
+	for _, resent := range []int{1, 5} {
+		state := &recordedProgress{control.ServiceRollout{Service: "pool", Order: 1, To: "v2", Seconds: 20, State: control.RolloutRunning, Percent: 4, ElapsedMillis: 9000}}
+		c := NewServiceController(state, state, 0.15, state, slog.New(slog.DiscardHandler))
+		for range resent {
+			c.PutRolloutSamples("e1", "boot", report)
+		}
+		c.advance(t.Context(), state.progress, newServiceTrial(state.progress, began), began.Add(time.Second))
+		if state.progress.State != control.RolloutRolledBack {
+			t.Errorf("the leader after one heartbeat: %+v", state.progress)
+		}
+		if totals, _ := c.sumSamples(state.progress); totals[sampleKey{stratum{route: "drafts"}, true}].Requests != 25 {
+			t.Errorf("after %d heartbeats: %+v", resent, totals)
+		}
+	}
+}
+
 // Guards against a roll-out that ends too late, too early, or moves sessions in its first half.
 func TestNextProgress(t *testing.T) {
+	accepted, undecided := verdict{served: 50, accepted: true}, verdict{served: 9, missing: "anything"}
 	r := control.ServiceRollout{Service: "pool", To: "v2", Seconds: 20, State: control.RolloutRunning}
 	cases := []struct {
 		desc    string
 		elapsed time.Duration
-		served  int
-		reason  string
+		verdict verdict
 		state   control.RolloutState
 		percent int
 		settled bool
 	}{
-		{"sends no requests to the new version before all instances have the open sessions", 1500 * time.Millisecond, 0, "", control.RolloutRunning, 0, false},
-		{"starts with a small share", 1600 * time.Millisecond, 0, "", control.RolloutRunning, control.InitialRolloutPercent, false},
-		{"keeps sessions in its first half", 9900 * time.Millisecond, 50, "", control.RolloutRunning, control.InitialRolloutPercent, false},
-		{"moves sessions after that", 10 * time.Second, 50, "", control.RolloutRunning, control.InitialRolloutPercent, true},
-		{"sends all requests before the end", 17800 * time.Millisecond, 50, "", control.RolloutRunning, 100, true},
-		{"succeeds before the time limit", 18800 * time.Millisecond, 50, "", control.RolloutDone, 100, true},
-		{"does not succeed without requests", 18800 * time.Millisecond, 0, "", control.RolloutRunning, 100, true},
-		{"is rolled back at the time limit without requests", 20 * time.Second, 0, "", control.RolloutRolledBack, 100, true},
-		{"is rolled back at once when it is bad", 3 * time.Second, 9, "fails", control.RolloutRolledBack, control.InitialRolloutPercent, false},
-		{"is rolled back when it turns bad late", 19 * time.Second, 90, "fails", control.RolloutRolledBack, 100, true},
+		{"sends no requests to the new version before all instances have the open sessions", 1500 * time.Millisecond, undecided, control.RolloutRunning, 0, false},
+		{"starts with a small share", 1600 * time.Millisecond, undecided, control.RolloutRunning, control.InitialRolloutPercent, false},
+		{"keeps sessions in its first half", 9900 * time.Millisecond, accepted, control.RolloutRunning, control.InitialRolloutPercent, false},
+		{"moves sessions after that", 10 * time.Second, accepted, control.RolloutRunning, control.InitialRolloutPercent, true},
+		{"sends all requests before the end", 17800 * time.Millisecond, accepted, control.RolloutRunning, 100, true},
+		{"succeeds before the time limit", 19200 * time.Millisecond, accepted, control.RolloutDone, 100, true},
+		{"gives an undecided version a larger share when sessions may move", 10 * time.Second, undecided, control.RolloutRunning, control.ExtendedRolloutPercent, true},
+		{"does not send all requests to an undecided version", 19 * time.Second, undecided, control.RolloutRunning, control.ExtendedRolloutPercent, true},
+		{"is rolled back at the time limit when it is undecided", 20 * time.Second, undecided, control.RolloutRolledBack, control.ExtendedRolloutPercent, true},
+		{"is rolled back at once when it is bad", 3 * time.Second, verdict{fault: "fails"}, control.RolloutRolledBack, control.InitialRolloutPercent, false},
+		{"is rolled back when it turns bad late", 19 * time.Second, verdict{fault: "fails"}, control.RolloutRolledBack, control.ExtendedRolloutPercent, true},
 	}
 	for _, c := range cases {
 		t.Run(c.desc, func(t *testing.T) {
-			next := nextProgress(r, scheduleFor(0.15), c.elapsed, c.served, c.reason)
+			next := nextProgress(r, 0.15, c.elapsed, c.verdict)
 			if next.State != c.state || next.Percent != c.percent || next.Settled != c.settled {
 				t.Errorf("state %s, %d%%, settled %t; want %s, %d%%, %t", next.State, next.Percent, next.Settled, c.state, c.percent, c.settled)
 			}
@@ -99,64 +253,61 @@
 // shows no fault at all, such as one that is bad only under a higher load, must stay below the bound too.
 func TestScheduleBoundsExposure(t *testing.T) {
 	const perSecond, reaction, never = 33.0, 2 * time.Second, time.Hour
-	if tight := scheduleFor(0.12); tight.allFromPercent != 92 || tight.doneFromPercent != 96 {
-		t.Errorf("the schedule for 12%% is %+v", tight)
-	}
 	for _, c := range []struct {
 		limit    time.Duration
 		exposure float64
 	}{{16 * time.Second, 0.15}, {24 * time.Second, 0.15}, {time.Minute, 0.15}, {24 * time.Second, 0.12}, {time.Minute, 0.3}} {
-		limit, sched := c.limit, scheduleFor(c.exposure)
+		limit := c.limit
 		r := control.ServiceRollout{Seconds: int(limit / time.Second), State: control.RolloutRunning}
 		badFroms := []time.Duration{never}
 		for at := time.Duration(0); at < limit; at += time.Second / 2 {
 			badFroms = append(badFroms, at)
 		}
 		for _, badFrom := range badFroms {
-			exposed, failures, stoppedAt := 0.0, 0.0, never
-			const step = 50 * time.Millisecond
-			for at := time.Duration(0); at < limit; at += step {
-				progress := nextProgress(r, sched, at, 50, "")
-				percent := progress.Percent
-				if progress.State == control.RolloutDone {
-					percent = 100
-				}
-				sent := perSecond * step.Seconds() * float64(percent) / 100
-				if at < stoppedAt {
-					exposed += sent
-				}
-				if at >= badFrom {
-					failures += sent * 0.4
+			// A version that is accepted late has the larger share before that.
+			for _, acceptedFrom := range []time.Duration{limit / 3, 3 * limit / 4, 19 * limit / 20} {
+				r := r
+				exposed, failures, stoppedAt := 0.0, 0.0, never
+				const step = 50 * time.Millisecond
+				for at := time.Duration(0); at < limit; at += step {
+					progress := nextProgress(r, c.exposure, at, verdict{served: 50, accepted: at >= acceptedFrom, missing: "anything"})
+					r.Percent, r.Settled, r.ElapsedMillis, r.ExposedMillis = progress.Percent, progress.Settled, progress.ElapsedMillis, progress.ExposedMillis
+					percent := progress.Percent
+					if progress.State == control.RolloutDone {
+						percent = 100
+					}
+					sent := perSecond * step.Seconds() * float64(percent) / 100
+					if at < stoppedAt {
+						exposed += sent
+					}
+					if at >= badFrom {
+						failures += sent * 0.4
+					}
+					if failures >= 4 && stoppedAt == never {
+						stoppedAt = at + reaction
+					}
 				}
-				if failures >= 4 && stoppedAt == never {
-					stoppedAt = at + reaction
+				if bound := c.exposure*perSecond*limit.Seconds() + 30; exposed > bound {
+					t.Errorf("limit %s, share %.2f, bad from %s on, accepted from %s on: %.0f requests were exposed, at most %.0f are allowed",
+						limit, c.exposure, badFrom, acceptedFrom, exposed, bound)
 				}
 			}
-			if bound := c.exposure*perSecond*limit.Seconds() + 30; exposed > bound {
-				t.Errorf("limit %s, share %.2f, bad from %s on: %.0f requests were exposed, at most %.0f are allowed", limit, c.exposure, badFrom, exposed, bound)
-			}
 		}
 	}
 }
 
 // Guards against a version that is bad on one route only, which the counts over all routes hide.
-func TestFindRegressionComparesEachRoute(t *testing.T) {
-	c := NewServiceController(nil, nil, 0.15, nil, nil)
-	add := func(version, route string, requests, failures int) {
-		c.AddOutcomes(time.Now(), "e1", []control.Outcome{{
-			Service: "pool", SoftwareVersion: version, Class: route, Requests: requests, Failures: failures,
-		}})
+func TestEachRouteIsJudged(t *testing.T) {
+	sample := func(isNew bool, route string, requests, failures int) control.RolloutSample {
+		return control.RolloutSample{Service: "pool", Order: 1, New: isNew, Route: route, Requests: requests, Failures: failures}
 	}
-	add("v1", "drafts", 400, 2)
-	add("v1", "tags", 400, 2)
-	add("v2", "drafts", 100, 0)
-	if _, reason := c.findRegression(control.ServiceRollout{Service: "pool", To: "v2"}); reason != "" {
-		t.Fatalf("a version without failures is %q", reason)
+	samples := []control.RolloutSample{sample(false, "drafts", 400, 2), sample(false, "tags", 400, 2), sample(true, "drafts", 100, 0)}
+	if v := judgeSamples(samples...); v.fault != "" {
+		t.Fatalf("a version without failures is %q", v.fault)
 	}
-	add("v2", "tags", 8, 5)
-	served, reason := c.findRegression(control.ServiceRollout{Service: "pool", To: "v2"})
-	if served != 108 || reason == "" {
-		t.Fatalf("served %d, reason %q; want 108 and a reason", served, reason)
+	v := judgeSamples(append(samples, sample(true, "tags", 8, 5))...)
+	if v.served != 108 || v.fault == "" {
+		t.Fatalf("served %d, fault %q; want 108 and a fault", v.served, v.fault)
 	}
 }
 
@@ -181,7 +332,7 @@
 	began := time.Now()
 	state := &recordedProgress{control.ServiceRollout{Service: "pool", Order: 2, To: "v2", Seconds: 20, State: control.RolloutRunning, ElapsedMillis: 1000}}
 	c := NewServiceController(state, state, 0.15, state, slog.New(slog.DiscardHandler))
-	trial := &serviceTrial{number: 2, elapsedBefore: time.Second, seenAt: began}
+	trial := newServiceTrial(state.progress, began)
 	at := func(after time.Duration) control.ServiceRollout {
 		c.advance(t.Context(), state.progress, trial, began.Add(after))
 		return state.progress
@@ -192,10 +343,13 @@
 		t.Errorf("progress after 10 s: %+v", p)
 	}
 	c.AddRolloutTimes(began.Add(time.Second), []control.RolloutTime{{Service: "pool", Order: 2, Elapsed: 20 * time.Second}})
-	if p := at(1200 * time.Millisecond); p.State != control.RolloutRunning || p.Percent != 100 {
+	if p := at(1200 * time.Millisecond); p.State != control.RolloutRunning || p.Percent == 100 {
 		t.Errorf("progress of a new leader without counts at the time limit: %+v", p)
 	}
-	c.AddOutcomes(began, "e1", []control.Outcome{{Service: "pool", SoftwareVersion: "v2", Requests: 9}})
+	rng := rand.New(rand.NewPCG(9, 10))
+	old, fresh := drawSample(rng, false, 300, 0, 100*time.Millisecond), drawSample(rng, true, 30, 0, 100*time.Millisecond)
+	old.Order, fresh.Order = 2, 2
+	c.PutRolloutSamples("e1", "boot", []control.RolloutSample{old, fresh})
 	if p := at(2 * time.Second); p.State != control.RolloutDone {
 		t.Errorf("progress with counts after the time limit: %+v", p)
 	}
@@ -206,7 +360,7 @@
 	began := time.Now()
 	state := &recordedProgress{control.ServiceRollout{Service: "pool", Order: 2, To: "v2", Seconds: 20, State: control.RolloutRunning}}
 	c := NewServiceController(state, state, 0.15, state, slog.New(slog.DiscardHandler))
-	c.advance(t.Context(), state.progress, &serviceTrial{number: 2, seenAt: began}, began.Add(21*time.Second))
+	c.advance(t.Context(), state.progress, newServiceTrial(state.progress, began), began.Add(21*time.Second))
 	if state.progress.State != control.RolloutRolledBack {
 		t.Errorf("progress after the time limit: %+v", state.progress)
 	}
--- a/server/syncer/heartbeat.go
+++ b/server/syncer/heartbeat.go
@@ -8,8 +8,13 @@
 	"clementinetray/api/control"
 )
 
-// HeartbeatInterval is the pause between two heartbeats.
-const HeartbeatInterval = time.Second
+const (
+	// HeartbeatInterval is the pause between two heartbeats.
+	HeartbeatInterval = time.Second
+	// rolloutHeartbeatInterval is the pause while a roll-out of a service runs. The leader needs the counts soon, because
+	// some versions are bad only with all requests, which they get for little more than a second of a short roll-out.
+	rolloutHeartbeatInterval = 500 * time.Millisecond
+)
 
 // Leader sends heartbeats to the control leader. controlclient.Client implements it.
 type Leader interface {
@@ -35,6 +40,8 @@
 	Slots() []control.Slot
 	// RolloutTimes returns the elapsed times of the running roll-outs of services.
 	RolloutTimes() []control.RolloutTime
+	// RolloutSamples returns the totals of the attempts during the running roll-outs of services.
+	RolloutSamples() []control.RolloutSample
 }
 
 // Heartbeat sends the reports of an entry instance to the control leader. It is not safe for concurrent use.
@@ -58,14 +65,17 @@
 
 // Run sends heartbeats until ctx ends.
 func (h *Heartbeat) Run(ctx context.Context) {
-	ticker := time.NewTicker(HeartbeatInterval)
-	defer ticker.Stop()
 	for {
+		began := time.Now()
 		h.Send(ctx, false)
+		interval := HeartbeatInterval
+		if len(h.reporter.RolloutTimes()) > 0 {
+			interval = rolloutHeartbeatInterval
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-time.After(interval - time.Since(began)):
 		}
 	}
 }
@@ -84,6 +94,7 @@
 	request := *h.pending
 	request.Demand, request.Held = h.limits.Demand(sentAt), h.limits.Held(sentAt)
 	request.Slots, request.RolloutTimes, request.Leaving = h.reporter.Slots(), h.reporter.RolloutTimes(), leaving
+	request.RolloutSamples = h.reporter.RolloutSamples()
 	reply, err := h.leader.Heartbeat(ctx, &request)
 	if err != nil {
 		h.logger.Warn("heartbeat failed", "error", err)
--- a/server/syncer/syncer_test.go
+++ b/server/syncer/syncer_test.go
@@ -119,8 +119,9 @@
 	r.next++
 	return []control.Outcome{{Requests: r.next}}
 }
-func (*reporter) TakeSuspects() []control.SuspectReport { return nil }
-func (*reporter) Slots() []control.Slot                 { return nil }
+func (*reporter) TakeSuspects() []control.SuspectReport   { return nil }
+func (*reporter) Slots() []control.Slot                   { return nil }
+func (*reporter) RolloutSamples() []control.RolloutSample { return nil }
 func (*reporter) RolloutTimes() []control.RolloutTime {
 	return []control.RolloutTime{{Service: "pool", Order: 1, Elapsed: time.Second}}
 }
--- a/standin/measure/fanout_bench_test.go
+++ b/standin/measure/fanout_bench_test.go
@@ -36,6 +36,8 @@
 func (noReports) Slots() []control.Slot                 { return nil }
 func (noReports) RolloutTimes() []control.RolloutTime   { return nil }
 
+func (noReports) RolloutSamples() []control.RolloutSample { return nil }
+
 // startNode starts the sync and heartbeat loops of one entry instance, called a node here. They use connections of
 // their own and end with ctx.
 func startNode(ctx context.Context, b *testing.B, s *site.Site, n int) *blackboard.Board {
