entry: log what an attempt had received when it failed; timeline of a prompt part that crashes backend servers

The log named the broken attempts, but not what they had in common. attempt_failed now has answer_begun, events and parts. No decision changes.

--- a/server/entry/dispatch.go
+++ b/server/entry/dispatch.go
@@ -97,6 +97,8 @@
 	answered bool
 	// answerMetadata holds the metadata of the answer to a routed request.
 	answerMetadata AnswerMetadata
+	// events is the number of complete events of a routed stream that this attempt has sent.
+	events int
 	sampleState
 }
 
--- a/server/entry/routed_log.go
+++ b/server/entry/routed_log.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"strings"
 	"time"
 
 	"clementinetray/api/control"
@@ -42,5 +43,14 @@
 		return
 	}
 	x.h.cfg.Log.Info("attempt_failed", "request", x.rq.id, "backend_server", x.server.ID, "kind", string(f.kind), "error", f.Error(),
-		"written", f.wrote, "attempt", x.rq.attemptCount, "took", time.Since(x.began))
+		"written", f.wrote, "answer_begun", x.answered, "events", x.events, "parts", partIDs(x.rq.routed.Parts), "attempt", x.rq.attemptCount, "took", time.Since(x.began))
+}
+
+// partIDs returns the ids of the parts, separated by commas.
+func partIDs(parts []balance.PromptPart) string {
+	ids := make([]string, len(parts))
+	for i, p := range parts {
+		ids[i] = p.ID
+	}
+	return strings.Join(ids, ",")
 }
--- a/server/entry/routed_stream.go
+++ b/server/entry/routed_stream.go
@@ -65,7 +65,6 @@
 	}()
 	splitter, controller, call := &eventSplitter{reader: reader}, http.NewResponseController(w), x.rq.routed
 	var first, longestPause time.Duration
-	count := 0
 	last := x.began
 	for {
 		event, err := splitter.next()
@@ -76,7 +75,7 @@
 			return x.failConnection(err)
 		}
 		x.running.touch()
-		count++
+		x.events++
 		now := time.Now()
 		if first == 0 {
 			first = now.Sub(x.began)
@@ -85,7 +84,7 @@
 			h.balance.RecordEventInterval(now, x.server.ID, now.Sub(last))
 		}
 		last = now
-		x.sampleInterval(count, now.Sub(x.began)-first, false)
+		x.sampleInterval(x.events, now.Sub(x.began)-first, false)
 		if !call.answerStarted {
 			call.answerStarted = true
 			h.metrics.firstTokenSeconds.Observe(time.Since(x.rq.start).Seconds())
@@ -105,9 +104,9 @@
 		}
 	}
 	x.recordSuccess()
-	x.sampleInterval(count, last.Sub(x.began)-first, true)
+	x.sampleInterval(x.events, last.Sub(x.began)-first, true)
 	h.countRoutedAnswer(x, first)
-	h.logAnswer(x, "stream_ended", "first", first, "longest_pause", longestPause, "events", count)
+	h.logAnswer(x, "stream_ended", "first", first, "longest_pause", longestPause, "events", x.events)
 	if !call.answerStarted {
 		// A stream that ends without an event is a valid answer.
 		call.answerStarted = true
