Quarantine prompt parts that crash backend servers

Cause: the quarantine is by the hash of workspace, target and body, and a crash was charged to all requests that ran on the backend server. Nothing looked at what different requests share.

A crash is now charged to the parts of the requests whose answer had begun without a complete event, without the parts with which other answers begin. The replicated state counts crashes for each part and keeps what all its requests have in common; after two that no other part explains, every instance refuses requests that have all of it. Instances that see answers begin with such a part have it cleared.

--- a/api/control/messages.go
+++ b/api/control/messages.go
@@ -123,12 +123,28 @@
 	// Crashes is the number of distinct (backend server, boot) pairs that crashed while they ran the request, by the
 	// request's fingerprint. A request with QuarantineCrashes of them is quarantined.
 	Crashes map[string]int
+	// Parts holds the quarantined prompt parts: those with QuarantineCrashes crashes that no other entry explains.
+	Parts map[string]QuarantinedPart
+}
+
+// QuarantinedPart is a prompt part that crashes backend servers. A request is quarantined if its prompt has all parts of Common.
+type QuarantinedPart struct {
+	// Crashes is the number of crashes that no other quarantined part explains. With fewer than ConfirmedPartCrashes the
+	// quarantine is provisional: requests that ran on servers which crashed together have that many by chance.
+	Crashes int
+	// Common lists the parts that all requests with this part had in common which crashed backend servers, with the part
+	// itself.
+	Common []string
 }
 
 // QuarantineCrashes is the number of crashed backend servers at which a request is quarantined: all entry instances then
 // refuse it. For requests of catalogue.Route, entry instances apply a higher number.
 const QuarantineCrashes = 2
 
+// ConfirmedPartCrashes is the number of crashed backend servers at which the quarantine of a prompt part is no longer
+// provisional.
+const ConfirmedPartCrashes = 3
+
 // Phase is the lifecycle phase of a backend server.
 type Phase string
 
@@ -539,14 +555,29 @@
 	Boot          string
 	// Request is the request id.
 	Request string
+	// Parts lists the shared parts of the request's prompt if the backend server crashed as it began the answer, without
+	// those with which other answers have begun. Such a part may have caused the crash.
+	Parts []string
 }
 
 // ReportCrashReply returns the number of crashes of the fingerprint, counted as in Quarantine.
 type ReportCrashReply struct {
 	Meta
 	Crashes int
+	// Parts has the entries of Quarantine.Parts for the parts in the report.
+	Parts map[string]QuarantinedPart
 }
 
+// ClearPartsRequest reports that backend servers have answered requests with these prompt parts, so that the parts don't crash
+// them.
+type ClearPartsRequest struct {
+	Meta
+	Parts []string
+}
+
+// ClearPartsReply is the reply to ClearPartsRequest.
+type ClearPartsReply struct{ Meta }
+
 // AcquireSlotRequest requests a slot. The sender chooses Slot.ID, so that a repeated request does not take a second slot.
 type AcquireSlotRequest struct {
 	Meta
@@ -589,6 +620,8 @@
 	FinishCall(ctx context.Context, in *FinishCallRequest) error
 	RecordBills(ctx context.Context, in *RecordBillsRequest) (*RecordBillsReply, error)
 	ReportCrash(ctx context.Context, in *ReportCrashRequest) (*ReportCrashReply, error)
+	// ClearParts lifts the quarantine of prompt parts, and keeps new reports on them from counting for a while.
+	ClearParts(ctx context.Context, in *ClearPartsRequest) (*ClearPartsReply, error)
 	AcquireSlot(ctx context.Context, in *AcquireSlotRequest) (*AcquireSlotReply, error)
 	ReleaseSlot(ctx context.Context, in *ReleaseSlotRequest) error
 }
--- a/api/control/operator.go
+++ b/api/control/operator.go
@@ -127,13 +127,16 @@
 	Limit            int                    `json:"limit,omitempty"`
 }
 
-// QuarantineEntry describes a request that crashed backend servers.
+// QuarantineEntry describes a request, or a prompt part of requests, that crashed backend servers.
 type QuarantineEntry struct {
+	// Fingerprint is the hash of the request, or "part:" and the part.
 	Fingerprint string   `json:"fingerprint"`
 	Crashes     int      `json:"crashes"`
 	Servers     []string `json:"servers"`
 	// Stopped is true if the request is refused because it caused at least QuarantineCrashes crashes.
 	Stopped bool `json:"stopped"`
+	// Parts lists the parts that a request must have, all of them, to be refused. It is set for a prompt part only.
+	Parts []string `json:"parts,omitempty"`
 }
 
 // WorkspaceBill holds the totals of the bills of one workspace.
--- a/server/controlclient/client.go
+++ b/server/controlclient/client.go
@@ -378,6 +378,13 @@
 	return out, c.callLeader(ctx, "Control.ReportCrash", in, out)
 }
 
+// ClearParts implements control.Client.
+func (c *Client) ClearParts(ctx context.Context, in *control.ClearPartsRequest) (*control.ClearPartsReply, error) {
+	in.Meta = c.meta()
+	out := &control.ClearPartsReply{}
+	return out, c.callLeader(ctx, "Control.ClearParts", in, out)
+}
+
 // AcquireSlot implements control.Client.
 func (c *Client) AcquireSlot(ctx context.Context, in *control.AcquireSlotRequest) (*control.AcquireSlotReply, error) {
 	in.Meta = c.meta()
--- a/server/controlstate/changes.go
+++ b/server/controlstate/changes.go
@@ -312,9 +312,7 @@
 	p.diff = []string{fmt.Sprintf("quarantine %s: %d crashes forgotten", c.Fingerprint, len(r.Pairs))}
 	p.apply = func() {
 		s.crashes.remove(k)
-		crashes := maps.Clone(s.quarantine.Crashes)
-		delete(crashes, c.Fingerprint)
-		s.quarantine = &control.Quarantine{ModRevision: s.revision, Crashes: crashes}
+		s.quarantine = s.quarantineAt(s.revision)
 	}
 	return p
 }
--- a/server/controlstate/command.go
+++ b/server/controlstate/command.go
@@ -38,6 +38,7 @@
 	InstanceGone *InstanceGone               `json:",omitempty"`
 	RecordBills  *control.RecordBillsRequest `json:",omitempty"`
 	ReportCrash  *control.ReportCrashRequest `json:",omitempty"`
+	ClearParts   *control.ClearPartsRequest  `json:",omitempty"`
 	// BillBatches may be combined with BeginCalls and FinishCalls in one command: the leader batches the requests that
 	// arrive while a proposal is in flight. The result of such a command is BatchResult.
 	BillBatches []control.RecordBillsRequest `json:",omitempty"`
--- a/server/controlstate/records_test.go
+++ b/server/controlstate/records_test.go
@@ -334,3 +334,92 @@
 		Expect(control.ErrTableFull.Has(d.reportCrash("new", "s1", "b1").(error))).To(BeTrue())
 	})
 })
+
+var _ = Describe("prompt parts that crash backend servers", func() {
+	var d *driver
+	BeforeEach(func() { d = newDriver() })
+	crash := func(request, server string, parts ...string) control.ReportCrashReply {
+		return d.apply(Command{ReportCrash: &control.ReportCrashRequest{Fingerprint: request, BackendServer: server, Boot: "b", Parts: parts}}).(control.ReportCrashReply)
+	}
+	quarantined := func() map[string]control.QuarantinedPart { return d.state.View().Quarantine.Parts }
+
+	// Guards against requests with one part in common, no two alike, that crash one backend server after the other.
+	It("are quarantined after two crashes by requests that share nothing else", func() {
+		Expect(crash("f1", "s1", "system", "subject", "deadly").Parts).To(BeEmpty())
+		reply := crash("f2", "s2", "system", "other", "deadly")
+		Expect(reply.Crashes).To(Equal(1))
+		Expect(quarantined()).To(HaveLen(1))
+		for part, q := range quarantined() {
+			Expect(reply.Parts).To(HaveKeyWithValue(part, q))
+			Expect(q).To(Equal(control.QuarantinedPart{Crashes: 2, Common: []string{"system", "deadly"}}))
+		}
+	})
+	It("have in common what all requests with the part have", func() {
+		crash("f1", "s1", "subject", "deadly")
+		crash("f1", "s2", "subject", "deadly")
+		Expect(quarantined()).To(HaveKeyWithValue("deadly", control.QuarantinedPart{Crashes: 2, Common: []string{"subject", "deadly"}}))
+		crash("f2", "s3", "other", "deadly")
+		Expect(quarantined()).To(Equal(map[string]control.QuarantinedPart{"deadly": {Crashes: 3, Common: []string{"deadly"}}}))
+	})
+	It("count a crash once, however many requests and reports name it", func() {
+		for range 3 {
+			crash("f1", "s1", "deadly")
+			crash("f2", "s1", "deadly")
+		}
+		Expect(quarantined()).To(BeEmpty())
+	})
+	// Guards against the quarantine of parts whose requests ran on the backend servers that another part crashed.
+	It("do not include parts whose crashes another part explains", func() {
+		for n := range 4 {
+			crash(fmt.Sprint("deadly", n), fmt.Sprint("s", n), "deadly")
+			if n > 0 {
+				crash(fmt.Sprint("innocent", n), fmt.Sprint("s", n), "popular")
+			}
+		}
+		Expect(quarantined()).To(HaveLen(1))
+		Expect(quarantined()).To(HaveKey("deadly"))
+	})
+	It("are cleared when answers begin with them, and count again after a while", func() {
+		crash("f1", "s1", "popular")
+		crash("f2", "s2", "popular")
+		d.apply(Command{ClearParts: &control.ClearPartsRequest{Parts: []string{"popular", "unknown"}}})
+		Expect(quarantined()).To(BeEmpty())
+		crash("f3", "s3", "popular")
+		crash("f4", "s4", "popular")
+		Expect(quarantined()).To(BeEmpty())
+		d.at = d.at.Add(PartClearance)
+		crash("f5", "s5", "popular")
+		crash("f6", "s6", "popular")
+		Expect(quarantined()).To(HaveKey("popular"))
+	})
+	It("are kept in snapshots, shown to operators, lifted by them, and forgotten after an hour", func() {
+		crash("f1", "s1", "subject", "deadly")
+		crash("f1", "s2", "subject", "deadly")
+		snapshot, err := d.state.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		restored := New()
+		Expect(restored.Restore(snapshot)).To(Succeed())
+		Expect(restored.View().Quarantine).To(Equal(d.state.View().Quarantine))
+		Expect(d.state.QuarantineEntries()).To(ContainElement(control.QuarantineEntry{
+			Fingerprint: "part:deadly", Crashes: 2, Servers: []string{"s1", "s2"}, Stopped: true, Parts: []string{"subject", "deadly"},
+		}))
+		d.apply(Command{LiftQuarantine: &LiftQuarantine{changeBase(0, "a", "anna"), "part:deadly"}})
+		d.apply(Command{LiftQuarantine: &LiftQuarantine{changeBase(1, "b", "anna"), "part:subject"}})
+		Expect(quarantined()).To(BeEmpty())
+		crash("f2", "s3", "deadly")
+		crash("f3", "s4", "deadly")
+		Expect(quarantined()).To(HaveKey("deadly"))
+		d.at = d.at.Add(PartCrashTTL)
+		d.reportCrash("other", "s9", "b")
+		Expect(quarantined()).To(BeEmpty())
+	})
+	It("are bounded in number and length, whatever callers send", func() {
+		parts := []string{"", strings.Repeat("x", MaxPartLength+1)}
+		for n := range 2 * MaxReportedParts {
+			parts = append(parts, fmt.Sprint("p", n))
+		}
+		crash("f1", "s1", parts...)
+		crash("f1", "s2", parts...)
+		Expect(len(d.state.QuarantineEntries())).To(BeNumerically("<=", MaxReportedParts+1))
+	})
+})
--- a/server/controlstate/snapshot.go
+++ b/server/controlstate/snapshot.go
@@ -171,17 +171,11 @@
 	s.phases, s.servers, s.fence = mapByName(img.Phases), mapByName(img.Servers), img.Fence
 	s.firstResults, s.sessions, s.calls, s.bills, s.crashes = next.firstResults, next.sessions, next.calls, next.bills, next.crashes
 	s.bills.totals, s.bills.recordedCount = mapByName(img.Totals), img.BillCount
-	s.quarantine = &control.Quarantine{ModRevision: img.QuarantineMod, Crashes: s.crashCounts()}
+	s.quarantine = s.quarantineAt(img.QuarantineMod)
 	s.publish()
 	return nil
 }
 
-func (s *State) crashCounts() map[string]int {
-	crashes := make(map[string]int, s.crashes.len())
-	s.crashes.each(func(_ tableKey, r *crashRecord, _ int64) { crashes[r.Fingerprint] = len(r.Pairs) })
-	return crashes
-}
-
 func (s *State) restoreTables(img *image) error {
 	var errors [8]error
 	s.firstResults, errors[0] = importTable(MaxRequestIDs, img.Results)
--- a/server/controlstate/state.go
+++ b/server/controlstate/state.go
@@ -1,7 +1,6 @@
 package controlstate
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -48,11 +47,6 @@
 	BatchTTL   = 24 * time.Hour
 	// MaxBilledWorkspaces bounds the workspaces with a bill total of their own.
 	MaxBilledWorkspaces = 10_000
-	// MaxCrashRecords and CrashTTL bound crash records; CrashTTL counts from the last new crash.
-	MaxCrashRecords = 10_000
-	CrashTTL        = 24 * time.Hour
-	// MaxCrashPairs bounds the crashed (backend server, boot) pairs that are kept for one fingerprint.
-	MaxCrashPairs = 16
 	// MaxRequestIDs and RequestIDTTL bound the stored first results of operator changes; a full table evicts the oldest.
 	MaxRequestIDs = 10_000
 	RequestIDTTL  = 24 * time.Hour
@@ -125,14 +119,6 @@
 	Reply   control.ChangeReply
 }
 
-// crashRecord holds the boots of backend servers that crashed while running requests of one fingerprint.
-type crashRecord struct {
-	Fingerprint string
-	Pairs       []crashPair
-}
-
-type crashPair struct{ BackendServer, Boot string }
-
 // publishedView is the part of the state that is read without a lock.
 type publishedView struct {
 	view                 *control.View
@@ -287,24 +273,6 @@
 	return slices.Clone(s.changes)
 }
 
-// QuarantineEntries returns every fingerprint with crashes, sorted.
-func (s *State) QuarantineEntries() []control.QuarantineEntry {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	entries := []control.QuarantineEntry{}
-	s.crashes.each(func(_ tableKey, r *crashRecord, _ int64) {
-		e := control.QuarantineEntry{
-			Fingerprint: r.Fingerprint, Crashes: len(r.Pairs), Stopped: len(r.Pairs) >= control.QuarantineCrashes,
-		}
-		for _, p := range r.Pairs {
-			e.Servers = append(e.Servers, p.BackendServer)
-		}
-		entries = append(entries, e)
-	})
-	slices.SortFunc(entries, func(a, b control.QuarantineEntry) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
-	return entries
-}
-
 // Apply executes a committed command. The result has the type given in the command's doc comment. If it is an error, of
 // class ErrRefused, control.ErrTableFull or Error, the command changed nothing.
 func (s *State) Apply(index uint64, data []byte) any {
@@ -353,6 +321,9 @@
 		return s.bills.recordBatch(c.RecordBills, s.nowMillis)
 	case c.ReportCrash != nil:
 		return s.recordCrash(c.ReportCrash)
+	case c.ClearParts != nil:
+		s.clearParts(c.ClearParts)
+		return nil
 	case len(c.BeginCalls)+len(c.FinishCalls)+len(c.BillBatches) > 0:
 		return s.applyBatch(c)
 	}
@@ -380,8 +351,8 @@
 	s.bills.expire(s.nowMillis)
 	countBefore := s.crashes.len()
 	s.crashes.expire(s.nowMillis-CrashTTL.Milliseconds(), nil)
-	if s.crashes.len() != countBefore {
-		s.setQuarantine(s.crashCounts())
+	if s.crashes.len() != countBefore || s.hasExpiredPart() {
+		s.publishQuarantine()
 	}
 }
 
@@ -446,28 +417,3 @@
 	p, ok := s.rollouts.Progress[ref.Model]
 	return ok && p.State == control.RolloutRolledBack && p.To == ref.Version
 }
-
-func (s *State) recordCrash(c *control.ReportCrashRequest) any {
-	k := keyOf(c.Fingerprint)
-	r := s.crashes.get(k)
-	if r == nil {
-		r = s.crashes.put(k, crashRecord{Fingerprint: c.Fingerprint}, s.nowMillis)
-		if r == nil {
-			return control.ErrTableFull.New("%d requests have crash records", s.crashes.len())
-		}
-	}
-	pair := crashPair{c.BackendServer, c.Boot}
-	if !slices.Contains(r.Pairs, pair) && len(r.Pairs) < MaxCrashPairs {
-		r.Pairs = append(r.Pairs, pair)
-		s.crashes.touch(k, s.nowMillis)
-		crashes := maps.Clone(s.quarantine.Crashes)
-		crashes[c.Fingerprint] = len(r.Pairs)
-		s.setQuarantine(crashes)
-	}
-	return control.ReportCrashReply{Crashes: len(r.Pairs)}
-}
-
-func (s *State) setQuarantine(crashes map[string]int) {
-	s.revision++
-	s.quarantine = &control.Quarantine{ModRevision: s.revision, Crashes: crashes}
-}
--- a/server/controlsvc/rpc.go
+++ b/server/controlsvc/rpc.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"time"
 	"unicode/utf8"
 
@@ -289,6 +290,23 @@
 		s.Recorder.Record(event.Event{Kind: "request_quarantined", Request: in.Request, BackendServer: in.BackendServer,
 			Reason: in.Fingerprint, Detail: map[string]string{"crashes": strconv.Itoa(out.Crashes)}})
 	}
+	for part, quarantined := range out.Parts {
+		s.Recorder.Record(event.Event{Kind: "prompt_part_quarantined", Request: in.Request, BackendServer: in.BackendServer,
+			Reason: part, Detail: map[string]string{"together_with": strings.Join(quarantined.Common, ","), "crashes": strconv.Itoa(quarantined.Crashes)}})
+	}
+	return nil
+}
+
+// ClearParts implements the RPC method of control.Client. Only the leader accepts it.
+func (s *Service) ClearParts(in *control.ClearPartsRequest, out *control.ClearPartsReply) error {
+	if err := s.checkWrite(in.Stamp); err != nil {
+		return err
+	}
+	if _, err := s.propose(&controlstate.Command{ClearParts: in}); err != nil {
+		return err
+	}
+	s.Recorder.Record(event.Event{Kind: "prompt_parts_cleared", Detail: map[string]string{"instance": in.Instance, "parts": strings.Join(in.Parts, ",")}})
+	out.Meta = s.newMeta()
 	return nil
 }
 
--- a/server/entry/dialect.go
+++ b/server/entry/dialect.go
@@ -90,6 +90,7 @@
 const (
 	headerModel         = "Clementinetray-Model"
 	headerTokens        = "Clementinetray-Tokens"
+	headerPromptParts   = "Clementinetray-Prompt-Parts"
 	headerBackendServer = "Clementinetray-Backend-Server"
 	headerWorkspace     = "Clementinetray-Workspace"
 	headerNotRun        = "Clementinetray-Not-Run"
@@ -123,9 +124,32 @@
 			return c, Error.New("%s is not two numbers of tokens", headerTokens)
 		}
 	}
+	if text := r.Header.Get(headerPromptParts); text != "" {
+		if c.Parts = ReadPromptParts(text); c.Parts == nil {
+			return c, Error.New("%s is not a list of ID:TOKENS", headerPromptParts)
+		}
+	}
 	return c, nil
 }
 
+// ReadPromptParts parses a list of the parts of a prompt in order, written as ID:TOKENS and separated by commas. It returns nil
+// when any part is unreadable.
+func ReadPromptParts(text string) []balance.PromptPart {
+	if text == "" {
+		return nil
+	}
+	var parts []balance.PromptPart
+	for item := range strings.SplitSeq(text, ",") {
+		id, count, ok := strings.Cut(strings.TrimSpace(item), ":")
+		tokens, err := strconv.Atoi(strings.TrimSpace(count))
+		if !ok || err != nil {
+			return nil
+		}
+		parts = append(parts, balance.PromptPart{ID: id, Tokens: tokens})
+	}
+	return parts
+}
+
 // Outgoing implements Dialect.
 func (nativeDialect) Outgoing(header http.Header) http.Header {
 	out := http.Header{}
--- a/server/entry/dispatch.go
+++ b/server/entry/dispatch.go
@@ -59,6 +59,9 @@
 	refused *answer
 	// serverCrashed is set when the backend server crashed while it ran the request.
 	serverCrashed bool
+	// answerBegan is set when the header of the answer had come, but no event yet; sentEvents when events had come. Both are
+	// set for routed requests only.
+	answerBegan, sentEvents bool
 }
 
 // Error returns the kind and the cause.
@@ -262,6 +265,7 @@
 // for another request.
 func (x *exchange) fail(f *attemptError) *attemptError {
 	f.wrote = x.response != nil || x.trace.seal()
+	f.answerBegan, f.sentEvents = x.answered && x.events == 0, x.events > 0
 	x.rq.written = x.rq.written || f.wrote
 	x.h.metrics.attempts.WithLabelValues(string(f.kind)).Inc()
 	x.logFailure(f)
--- a/server/entry/fakes_test.go
+++ b/server/entry/fakes_test.go
@@ -28,10 +28,13 @@
 	bills    map[string]control.Bill
 	billRPCs int
 	crashes  map[string]map[string]bool
-	slots    map[control.Slot]bool
-	released map[control.Slot]int
-	limit    map[control.SlotKey]int
-	batches  [][]control.Announcement
+	// crashReports holds the reports in order; clearedParts the parts of ClearParts calls.
+	crashReports []control.ReportCrashRequest
+	clearedParts []string
+	slots        map[control.Slot]bool
+	released     map[control.Slot]int
+	limit        map[control.SlotKey]int
+	batches      [][]control.Announcement
 }
 
 type fakeCall struct {
@@ -181,6 +184,10 @@
 	})
 }
 
+func (c *fakeControl) ClearParts(ctx context.Context, in *control.ClearPartsRequest) (*control.ClearPartsReply, error) {
+	return &control.ClearPartsReply{}, c.call(ctx, "ClearParts", func() { c.clearedParts = append(c.clearedParts, in.Parts...) })
+}
+
 func (c *fakeControl) ReportCrash(ctx context.Context, in *control.ReportCrashRequest) (*control.ReportCrashReply, error) {
 	out := &control.ReportCrashReply{}
 	return out, c.call(ctx, "ReportCrash", func() {
@@ -188,6 +195,7 @@
 			c.crashes[in.Fingerprint] = map[string]bool{}
 		}
 		c.crashes[in.Fingerprint][in.BackendServer+"/"+in.Boot] = true
+		c.crashReports = append(c.crashReports, *in)
 		out.Crashes = len(c.crashes[in.Fingerprint])
 	})
 }
--- a/server/entry/handler.go
+++ b/server/entry/handler.go
@@ -50,6 +50,7 @@
 	oldVersionSessions *keptSessions
 	rollouts           *rolloutTimes
 	rolloutSamples     *rolloutSamples
+	parts              *partWatch
 	budgetMu           sync.Mutex // guards budgets
 	// budgets holds the retry budget of each service, by service name.
 	budgets map[string]*retry.Budget
@@ -94,7 +95,7 @@
 		bills: newBiller(&cfg, m), sessions: newSessionCache(cfg.SessionCache),
 		answers: newAnswerStore(cfg.AnswerRetention, cfg.AnswerMemory, m), queue: newWaitQueue(cfg.MaxWaiting, m),
 		outcomes: newOutcomeCounts(), latency: newLatencyWatch(), crashes: newCrashCache(), runningAttempts: newRunningAttempts(),
-		balance: balance.NewTracker(), boundSessions: newBoundSessions(), oldVersionSessions: newKeptSessions(), answeredRequests: newAnsweredSet(), rollouts: newRolloutTimes(), rolloutSamples: newRolloutSamples(), budgets: map[string]*retry.Budget{},
+		balance: balance.NewTracker(), boundSessions: newBoundSessions(), oldVersionSessions: newKeptSessions(), answeredRequests: newAnsweredSet(), parts: newPartWatch(), rollouts: newRolloutTimes(), rolloutSamples: newRolloutSamples(), budgets: map[string]*retry.Budget{},
 		idle: make(chan struct{}), stopBackground: stop,
 	}
 	h.slots = newSlotHolder(&h.cfg)
--- a/server/entry/place.go
+++ b/server/entry/place.go
@@ -101,7 +101,7 @@
 // only some of them, so that no other request waits behind it.
 func (rq *request) poolName() string {
 	switch {
-	case rq.crashes > 0 || len(rq.route.Exclude) > 0:
+	case rq.crashes > 0 || rq.heldForPart || len(rq.route.Exclude) > 0:
 		return ""
 	case rq.route.Service != "":
 		return "service/" + rq.route.Service
--- a/server/entry/routed_crash.go
+++ b/server/entry/routed_crash.go
@@ -66,29 +66,60 @@
 	return h.checkQuarantine(rq, maxRoutedCrashes)
 }
 
-// reportRoutedCrash checks in the background whether the backend server still accepts connections, and reports a crash to the
-// control group if not. If it does, the connection broke for another reason and no crash is counted for the request.
-func (h *Handler) reportRoutedCrash(rq *request, server *control.BackendServer) {
+// reportRoutedCrash checks whether the backend server still accepts connections, and reports a crash to the control group if not.
+// If it does, the connection broke for another reason and no crash is counted for the request. If parts of the prompt may have
+// caused the crash, it returns after the report, so that the request is not sent to another backend server before the control
+// group has counted it. Otherwise the report is made in the background.
+func (h *Handler) reportRoutedCrash(rq *request, server *control.BackendServer, f *attemptError) {
 	rq.setFingerprint()
-	if h.answeredRequests.has(rq.fingerprint, time.Now()) {
-		return
+	if !f.answerBegan && !f.sentEvents {
+		rq.unansweredCrashes = append(rq.unansweredCrashes, serverBoot{server.ID, server.Boot})
 	}
-	report := &control.ReportCrashRequest{Fingerprint: rq.fingerprint, BackendServer: server.ID, Boot: server.Boot, Request: rq.id}
-	h.background.Go(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), h.cfg.ControlTimeout)
-		defer cancel()
-		conn, err := peer.Dial(ctx, net.Dialer{}, server.Address, crashDialTimeout)
-		if err == nil {
-			_ = conn.Close()
-			return
-		}
-		h.metrics.crashes.Inc()
-		reply, err := h.cfg.Control.ReportCrash(ctx, report)
-		if err != nil {
-			h.cfg.Log.Warn("crash_not_reported", "request", report.Request, "backend_server", server.ID, "error", err)
-			return
+	report := control.ReportCrashRequest{
+		Fingerprint: rq.fingerprint, BackendServer: server.ID, Boot: server.Boot, Request: rq.id, Parts: h.suspectParts(rq, f),
+	}
+	reports := []control.ReportCrashRequest{report}
+	if len(report.Parts) > 0 && !f.answerBegan {
+		for _, earlier := range rq.unansweredCrashes[:len(rq.unansweredCrashes)-1] {
+			report.BackendServer, report.Boot = earlier.server, earlier.boot
+			reports = append(reports, report)
 		}
-		h.crashes.put(report.Fingerprint, reply.Crashes, time.Now())
-		h.cfg.Log.Info("crash_reported", "request", report.Request, "backend_server", server.ID, "boot", server.Boot, "crashes", reply.Crashes)
-	})
+	}
+	if len(report.Parts) > 0 {
+		h.reportIfCrashed(server, reports)
+		return
+	}
+	h.background.Go(func() { h.reportIfCrashed(server, reports) })
+}
+
+// reportIfCrashed sends the reports if the backend server accepts no connection, and with them those of the attempts that were
+// dropped there shortly before.
+func (h *Handler) reportIfCrashed(server *control.BackendServer, reports []control.ReportCrashRequest) {
+	ctx, cancel := context.WithTimeout(context.Background(), h.cfg.ControlTimeout)
+	defer cancel()
+	if conn, err := peer.Dial(ctx, net.Dialer{}, server.Address, crashDialTimeout); err == nil {
+		_ = conn.Close()
+		return
+	}
+	h.metrics.crashes.Inc()
+	reports = append(reports, h.parts.takeDropped(serverBoot{server.ID, server.Boot}, time.Now())...)
+	for i := range reports {
+		h.sendCrashReport(ctx, &reports[i])
+	}
+}
+
+// sendCrashReport sends one report, unless the request was answered before and none of its parts is under suspicion.
+func (h *Handler) sendCrashReport(ctx context.Context, report *control.ReportCrashRequest) {
+	if len(report.Parts) == 0 && h.answeredRequests.has(report.Fingerprint, time.Now()) {
+		return
+	}
+	reply, err := h.cfg.Control.ReportCrash(ctx, report)
+	if err != nil {
+		h.cfg.Log.Warn("crash_not_reported", "request", report.Request, "backend_server", report.BackendServer, "error", err)
+		return
+	}
+	h.crashes.put(report.Fingerprint, reply.Crashes, time.Now())
+	h.parts.addReported(reply.Parts, time.Now())
+	h.cfg.Log.Info("crash_reported", "request", report.Request, "backend_server", report.BackendServer, "boot", report.Boot, "crashes", reply.Crashes,
+		"parts", report.Parts, "quarantined_parts", len(reply.Parts))
 }
--- a/server/entry/routed_log.go
+++ b/server/entry/routed_log.go
@@ -34,7 +34,7 @@
 func (h *Handler) logRefusal(rq *request, p *problem.Problem) {
 	view := h.cfg.Board.View.Load()
 	h.cfg.Log.Info("request_refused", "request", rq.id, "workspace", rq.workspaceName(), "reason", string(p.Reason), "detail", p.Detail,
-		"not_run", !rq.mayHaveRun, "attempts", rq.attemptCount, "revision", rq.revision, "view_age", view.Age(time.Now()), "took", time.Since(rq.start))
+		"parts", partIDs(rq.routed.Parts), "not_run", !rq.mayHaveRun, "attempts", rq.attemptCount, "revision", rq.revision, "view_age", view.Age(time.Now()), "took", time.Since(rq.start))
 }
 
 // logFailure logs how an attempt of a routed request failed.
--- a/server/entry/routed_place.go
+++ b/server/entry/routed_place.go
@@ -28,6 +28,9 @@
 	if ctx.Err() != nil {
 		return nil, problem.New(problem.DeadlineExceeded, "the deadline has passed or the caller is gone")
 	}
+	if p := h.checkPartQuarantine(rq, snap.Now); p != nil {
+		return nil, p
+	}
 	if waiting != nil && h.queue.isOutranked(waiting, nil) || waiting == nil && h.queue.isOutranked(nil, func() *waiter { return h.newWaiter(rq) }) {
 		return nil, problem.New(problem.Overloaded, "other requests wait for "+rq.poolName()).WithRetryAfter(time.Second)
 	}
--- a/server/entry/routed_run.go
+++ b/server/entry/routed_run.go
@@ -64,6 +64,7 @@
 	}
 	if largerModel := h.chooseLargerModel(rq, x.answerMetadata.Confidence); largerModel != "" {
 		x.countDroppedAnswer()
+		h.rememberDropped(x)
 		f := x.fail(&attemptError{kind: failLowConfidence, err: Error.New("confidence %d of model %s", x.answerMetadata.Confidence, call.model)})
 		call.model = largerModel
 		return f
@@ -136,7 +137,7 @@
 		h.balance.RecordFailure(now, server.ID)
 	}
 	if f.serverCrashed {
-		h.reportRoutedCrash(rq, server)
+		h.reportRoutedCrash(rq, server, f)
 	}
 	if f.refused != nil {
 		call.failureAnswer = f.refused
@@ -216,6 +217,7 @@
 		return f
 	}
 	x.recordSuccess()
+	h.recordPartsAnswered(x.rq)
 	h.countRoutedAnswer(x, time.Since(x.began))
 	h.metrics.firstTokenSeconds.Observe(time.Since(x.rq.start).Seconds())
 	h.logAnswer(x, "answered")
--- a/server/entry/routed_stream.go
+++ b/server/entry/routed_stream.go
@@ -79,6 +79,7 @@
 		now := time.Now()
 		if first == 0 {
 			first = now.Sub(x.began)
+			h.recordPartsAnswered(x.rq)
 		} else {
 			longestPause = max(longestPause, now.Sub(last))
 			h.balance.RecordEventInterval(now, x.server.ID, now.Sub(last))
