entry: bound the memory that answers without end take

A backend server that sends bytes without end, in a head or a body, until the caller closes, filled the memory of the entry instance: 40 requests at once took up to 580 MB, where the users' instances have 134 MB. Cause: the head was bounded by net/http's 10 MiB, a whole answer by 16 MiB and an event by 1 MiB, each for one request only.

--- a/server/entry/config.go
+++ b/server/entry/config.go
@@ -47,6 +47,9 @@
 	MaxBody int64
 	// MaxAnswer is the largest unstreamed answer in bytes. Default 16 MiB.
 	MaxAnswer int64
+	// AnswerBuffer bounds the memory that the answers of backend servers take while they are buffered, all together, in bytes.
+	// Default 64 MiB.
+	AnswerBuffer int64
 	// RequestLimit is the longest time that a request may take, with or without a deadline. Default 10 min.
 	RequestLimit time.Duration
 	// FullLoad is the load of a backend server in service, as a multiple of its capacity, from which requests wait in this
@@ -122,6 +125,7 @@
 	setIfZero(&c.MaxViewAge, 6*time.Second)
 	setIfZero(&c.MaxBody, 4<<20)
 	setIfZero(&c.MaxAnswer, 16<<20)
+	setIfZero(&c.AnswerBuffer, 64<<20)
 	setIfZero(&c.RequestLimit, 10*time.Minute)
 	setIfZero(&c.FullLoad, 2)
 	setIfZero(&c.MaxWait, 2*time.Second)
--- a/server/entry/conn.go
+++ b/server/entry/conn.go
@@ -124,6 +124,8 @@
 	keepAliveIdle   = time.Second
 	keepAlivePeriod = time.Second
 	keepAliveCount  = 2
+	// maxAnswerHeaderBytes bounds the header of a backend server's answer, which a faulty one may send without end.
+	maxAnswerHeaderBytes = 64 << 10
 )
 
 // newTransport returns a transport to backend servers. Calls that aren't idempotent need one with disableKeepAlives, which
@@ -141,11 +143,12 @@
 			}
 			return &sealableConn{Conn: conn}, nil
 		},
-		DisableCompression:  true,
-		DisableKeepAlives:   disableKeepAlives,
-		MaxIdleConnsPerHost: maxIdlePerHost,
-		IdleConnTimeout:     idleTimeout,
-		WriteBufferSize:     4 << 10,
-		ReadBufferSize:      4 << 10,
+		DisableCompression:     true,
+		DisableKeepAlives:      disableKeepAlives,
+		MaxIdleConnsPerHost:    maxIdlePerHost,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
+		WriteBufferSize:        4 << 10,
+		ReadBufferSize:         4 << 10,
 	}
 }
--- a/server/entry/dispatch.go
+++ b/server/entry/dispatch.go
@@ -102,6 +102,8 @@
 	answerMetadata AnswerMetadata
 	// events is the number of complete events of a routed stream that this attempt has sent.
 	events int
+	// buffered is the memory that the attempt's answer takes.
+	buffered bufferShare
 	sampleState
 }
 
@@ -112,6 +114,7 @@
 	rq.countedAttempts++
 	x := &exchange{h: h, rq: rq, server: placed.server, id: rq.id + "/" + strconv.Itoa(rq.attemptCount), began: time.Now()}
 	x.ctx, x.cancel = context.WithCancelCause(ctx)
+	x.buffered.buffer = &h.answerBuffer
 	x.running.server, x.running.boot, x.running.cancel = placed.server.ID, placed.server.Boot, x.cancel
 	if rq.routed != nil {
 		x.model, x.targetTime, x.cold = rq.routed.model, rq.routed.route.TargetTime(), placed.cold
@@ -292,15 +295,18 @@
 		_ = x.response.Body.Close()
 	}
 	x.cancel(context.Canceled)
+	x.buffered.release()
 }
 
 // readBody reads an unstreamed answer of at most limit bytes.
 func (x *exchange) readBody(limit int64) ([]byte, *attemptError) {
-	body, err := io.ReadAll(io.LimitReader(x.response.Body, limit+1))
-	if err != nil {
+	body, tooLong, err := x.buffered.readAll(x.response.Body, limit)
+	switch {
+	case Error.Has(err):
+		return nil, x.fail(&attemptError{kind: failProtocol, err: err})
+	case err != nil:
 		return nil, x.failConnection(err)
-	}
-	if int64(len(body)) > limit {
+	case tooLong:
 		return nil, x.fail(&attemptError{kind: failProtocol, err: Error.New("the answer is over %d bytes", limit)})
 	}
 	return body, nil
--- a/server/entry/handler.go
+++ b/server/entry/handler.go
@@ -51,6 +51,7 @@
 	rollouts           *rolloutTimes
 	rolloutSamples     *rolloutSamples
 	parts              *partWatch
+	answerBuffer       answerBuffer
 	budgetMu           sync.Mutex // guards budgets
 	// budgets holds the retry budget of each service, by service name.
 	budgets map[string]*retry.Budget
@@ -98,6 +99,7 @@
 		balance: balance.NewTracker(), boundSessions: newBoundSessions(), oldVersionSessions: newKeptSessions(), answeredRequests: newAnsweredSet(), parts: newPartWatch(), rollouts: newRolloutTimes(), rolloutSamples: newRolloutSamples(), budgets: map[string]*retry.Budget{},
 		idle: make(chan struct{}), stopBackground: stop,
 	}
+	h.answerBuffer.limit = cfg.AnswerBuffer
 	h.slots = newSlotHolder(&h.cfg)
 	h.finisher = newCallFinisher(&h.cfg)
 	h.ratings = newRater(&h.cfg, m, h.outcomes)
--- a/server/entry/routed_stream.go
+++ b/server/entry/routed_stream.go
@@ -18,8 +18,9 @@
 
 // eventSplitter splits a stream into events. Each is returned unchanged, with the empty line that ends it.
 type eventSplitter struct {
-	reader *bufio.Reader
-	event  []byte
+	reader   *bufio.Reader
+	event    []byte
+	buffered *bufferShare
 }
 
 // next returns the next event, which is valid until the next call. The error is io.EOF when the body ends after an event, and
@@ -28,6 +29,9 @@
 	s.event = s.event[:0]
 	for {
 		line, err := s.reader.ReadSlice('\n')
+		if err := s.buffered.grow(3 * (len(s.event) + len(line))); err != nil {
+			return nil, err
+		}
 		s.event = append(s.event, line...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
@@ -63,7 +67,7 @@
 		reader.Reset(nil)
 		readerPool.Put(reader)
 	}()
-	splitter, controller, call := &eventSplitter{reader: reader}, http.NewResponseController(w), x.rq.routed
+	splitter, controller, call := &eventSplitter{reader: reader, buffered: &x.buffered}, http.NewResponseController(w), x.rq.routed
 	var first, longestPause time.Duration
 	last := x.began
 	for {
