fleet: refuse odd announcements that put a backend server out of service

Another program that announced one odd entry could take a backend server out of service: a start in the far future, under its id or at its address, kept its own announcements out for good, as the later start wins. Cold times and capacities near the largest integer overflowed when they were used.

--- a/server/fleet/contract.go
+++ b/server/fleet/contract.go
@@ -38,6 +38,12 @@
 	maxServers = 12_000
 	// maxTombstones limits the memory for removed rows. A reader that missed more removals receives the whole table.
 	maxTombstones = 1024
+	// maxCount limits the capacities and loads in an announcement, maxCold the time for which a backend server stays cold, and
+	// maxStartAhead how far its start may lie in the future by this process's clock. Larger values come from another program
+	// or a faulty one. A start in the far future would keep the backend server's own announcements out for good.
+	maxCount      = 1_000_000
+	maxCold       = time.Hour
+	maxStartAhead = time.Hour
 	// maxVersions and maxTextBytes limit the size of an announcement.
 	maxVersions  = 64
 	maxTextBytes = 256
--- a/server/fleet/record.go
+++ b/server/fleet/record.go
@@ -134,7 +134,7 @@
 	defer t.mu.Unlock()
 	seeded := 0
 	for _, a := range recorded {
-		if t.rows[a.ID] == nil && validate(a) == nil {
+		if t.rows[a.ID] == nil && validate(now, a) == nil {
 			t.applyAnnouncement(now, t.insertRow(now, a), a)
 			seeded++
 		}
--- a/server/fleet/start_announcement_test.go
+++ b/server/fleet/start_announcement_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"math"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -43,6 +45,27 @@
 		Expect(row("s").ColdMillis).To(Equal(int64(3000)))
 	})
 
+	// Each case guards against one odd announcement, by another program, that takes the backend server at its address or with its
+	// id out of service, or makes its times overflow.
+	DescribeTable("odd announcements are refused, and the backend server stays in service",
+		func(id string, change func(*control.Announcement)) {
+			Expect(table.Announce(now, announcementWithStart("s", 1, 1))).To(Succeed())
+			Expect(fleet.ErrInvalidAnnouncement.Has(table.Announce(now, announcementWithStart(id, 1, 2, change)))).To(BeTrue())
+			Expect(table.Announce(now, announcementWithStart("s", 1, 3))).To(Succeed())
+			Expect(row("s")).NotTo(BeNil())
+			Expect(row("s").Sequence).To(Equal(int64(3)))
+			Expect(row("other")).To(BeNil())
+		},
+		Entry("a start in the far future under its id", "s", func(a *control.Announcement) { a.Started = math.MaxInt64 }),
+		Entry("a start in the far future at its address", "other", func(a *control.Announcement) { a.Started = now.Add(24 * time.Hour).UnixMilli() }),
+		Entry("a cold time that overflows", "other", func(a *control.Announcement) { a.ColdMillis = math.MaxInt64 }),
+		Entry("a cold time of days", "s", func(a *control.Announcement) { a.ColdMillis = (48 * time.Hour).Milliseconds() }),
+		Entry("a capacity that overflows", "s", func(a *control.Announcement) { a.Capacity = math.MaxInt }),
+		Entry("a load that overflows", "s", func(a *control.Announcement) { a.Running, a.Queued = math.MaxInt, math.MaxInt }),
+		Entry("a negative start", "s", func(a *control.Announcement) { a.Started = -1 }),
+		Entry("a version of many bytes", "s", func(a *control.Announcement) { a.SoftwareVersion = strings.Repeat("v", 1000) }),
+	)
+
 	// Each case guards against requests to a backend server that left or that another one has replaced.
 	DescribeTable("late announcements are ignored",
 		func(late control.Announcement, earlier ...control.Announcement) {
--- a/server/fleet/table.go
+++ b/server/fleet/table.go
@@ -102,7 +102,7 @@
 // SetPhase sets another phase; one that announces its cold time is in service at once. Errors are of the classes
 // ErrInvalidAnnouncement, ErrStaleBoot and ErrTableFull.
 func (t *Table) Announce(now time.Time, a control.Announcement) error {
-	if err := validate(a); err != nil {
+	if err := validate(now, a); err != nil {
 		return err
 	}
 	t.mu.Lock()
@@ -171,16 +171,21 @@
 	r.changedIn, t.nonLoadVersion = t.version, t.version
 }
 
-func validate(a control.Announcement) error {
+func validate(now time.Time, a control.Announcement) error {
 	for field, text := range map[string]string{"id": a.ID, "address": a.Address, "boot": a.Boot} {
 		if text == "" || len(text) > maxTextBytes {
 			return ErrInvalidAnnouncement.New("server=%.64q field=%s length=%d", a.ID, field, len(text))
 		}
 	}
 	switch {
-	case a.Capacity < 1 || a.ColdCapacity < 0 || a.Running < 0 || a.Queued < 0:
+	case a.Capacity < 1 || a.ColdCapacity < 0 || a.Running < 0 || a.Queued < 0,
+		max(a.Capacity, a.ColdCapacity, a.Running, a.Queued) > maxCount:
 		return ErrInvalidAnnouncement.New("server=%q capacity=%d cold_capacity=%d running=%d queued=%d",
 			a.ID, a.Capacity, a.ColdCapacity, a.Running, a.Queued)
+	case a.ColdMillis < 0 || a.ColdMillis > maxCold.Milliseconds() || a.Sequence < 0 || a.Started < 0 || a.Started > now.Add(maxStartAhead).UnixMilli():
+		return ErrInvalidAnnouncement.New("server=%q cold_millis=%d sequence=%d started=%d", a.ID, a.ColdMillis, a.Sequence, a.Started)
+	case len(a.SoftwareVersion) > maxTextBytes:
+		return ErrInvalidAnnouncement.New("server=%q software_version=%.64q", a.ID, a.SoftwareVersion)
 	case len(a.Versions) > maxVersions || len(a.AvailabilityZone)+len(a.Region)+len(a.Service) > maxTextBytes:
 		return ErrInvalidAnnouncement.New("server=%q versions=%d", a.ID, len(a.Versions))
 	}
