entry: backend servers that were restored from the record are cold after their start

A cold backend server got 36 requests in one second where 29 are allowed (FAILBACK): it had restarted half a second before the whole control group was lost. The new leader restored its table from the record, which has no cold times, so that the entry instances took it for warm until its next announcement.

A restored row that has not been announced again now counts as cold for the pool's cold time after its start.

--- a/server/entry/routed_place.go
+++ b/server/entry/routed_place.go
@@ -120,9 +120,10 @@
 // slices have the same order.
 func routableServers(snap *routing.Snapshot, rq *request, boundVersion string) ([]balance.Row, []*control.BackendServer) {
 	software := routing.SoftwareRulesFor(snap.View, rq.routed.service, rq.rolloutKey(), boundVersion)
-	rows, servers := matchingServers(snap, rq, software.Prefers)
+	coldTime := time.Duration(snap.View.Catalogue.PoolOf(rq.routed.service).ColdSeconds * float64(time.Second))
+	rows, servers := matchingServers(snap, rq, software.Prefers, coldTime)
 	if len(rows) == 0 {
-		rows, servers = matchingServers(snap, rq, software.Allows)
+		rows, servers = matchingServers(snap, rq, software.Allows, coldTime)
 	}
 	return rows, servers
 }
@@ -136,8 +137,9 @@
 	return rq.id
 }
 
-// matchingServers returns the backend servers of the request's service that take new work and whose version matches.
-func matchingServers(snap *routing.Snapshot, rq *request, versionMatches func(version string) bool) ([]balance.Row, []*control.BackendServer) {
+// matchingServers returns the backend servers of the request's service that take new work and whose version matches. coldTime is
+// how long they are cold after their start.
+func matchingServers(snap *routing.Snapshot, rq *request, versionMatches func(version string) bool, coldTime time.Duration) ([]balance.Row, []*control.BackendServer) {
 	var rows []balance.Row
 	var servers []*control.BackendServer
 	fleetAge := snap.Now.Sub(snap.Fleet.ReceivedAt)
@@ -146,7 +148,7 @@
 			continue
 		}
 		loadAge := b.LoadAge + fleetAge
-		coldFor := max(time.Duration(b.ColdMillis)*time.Millisecond-loadAge, 0)
+		coldFor := max(time.Duration(b.ColdMillis)*time.Millisecond-loadAge, assumedColdTime(b, coldTime, snap.Now), 0)
 		silent := b.Silent || fleetAge > fleet.SilentAfter || !b.StatesCold && loadAge > fleet.SilentAfter
 		rows = append(rows, balance.Row{ID: b.ID, Zone: b.AvailabilityZone, Slots: b.Capacity, Silent: silent, ColdRemaining: coldFor})
 		servers = append(servers, b)
@@ -154,6 +156,15 @@
 	return rows, servers
 }
 
+// assumedColdTime returns how long a backend server is assumed to stay cold that has not announced itself since its row was
+// restored from the record of an earlier leader, which has no cold times. The announcement follows within seconds.
+func assumedColdTime(b *control.BackendServer, coldTime time.Duration, now time.Time) time.Duration {
+	if b.Sequence > 0 || b.Started == 0 || !b.StatesCold {
+		return 0
+	}
+	return time.UnixMilli(b.Started).Add(coldTime).Sub(now)
+}
+
 // balanceRequest returns the properties of the request that affect the load balancing. model is the model that the router
 // chose; if it is empty, the time per token is that of the caller's model.
 func (rq *request) balanceRequest(engine *catalogue.Engine, model string) *balance.Request {
