entry: obey what backend servers say of themselves: leaving, asking to be spared

A backend server that says in its answers that it leaves still got requests until its announcement said so, and one that refused with Retry-After got as many as before; callers paid with attempts and waiting. Both are now one record for each (server, boot), which decisions read as they read draining and cold servers. A spared server gets nothing until its time is over, then a quarter and a half of its slots a second for a second each. If all ask to be spared for longer than a caller may wait, it is refused at once as not run, with the earliest return as Retry-After.

--- a/server/entry/dialect.go
+++ b/server/entry/dialect.go
@@ -79,6 +79,8 @@
 	// Load is the load that the backend server reported; LoadKnown is false if it reported none.
 	Load      balance.LoadReport
 	LoadKnown bool
+	// Statement is what the backend server says of itself.
+	Statement ServerStatement
 	// Confidence is the model's own estimate of how good its answer is, 0 to 100; -1 if there is none.
 	Confidence int
 }
@@ -94,6 +96,7 @@
 	headerBackendServer = "Clementinetray-Backend-Server"
 	headerWorkspace     = "Clementinetray-Workspace"
 	headerNotRun        = "Clementinetray-Not-Run"
+	headerLeaving       = "Clementinetray-Leaving"
 )
 
 // NativeDialect returns the dialect with the router's own header names.
@@ -182,6 +185,7 @@
 	return AnswerMetadata{
 		ID: r.Header.Get(headerAttemptID), NotRun: r.Header.Get(headerNotRun) != "" || r.StatusCode == http.StatusMisdirectedRequest,
 		AddressReassigned: r.StatusCode == http.StatusMisdirectedRequest, FromApplication: true, Confidence: -1,
+		Statement: ReadServerStatement(r, headerLeaving, time.Now()),
 	}
 }
 
--- a/server/entry/dispatch.go
+++ b/server/entry/dispatch.go
@@ -147,6 +147,7 @@
 	if f := x.checkAnswerID(); f != nil {
 		return x, f
 	}
+	x.recordAnswerStatement()
 	return x, nil
 }
 
--- a/server/entry/handler.go
+++ b/server/entry/handler.go
@@ -52,6 +52,7 @@
 	rolloutSamples     *rolloutSamples
 	parts              *partWatch
 	answerBuffer       answerBuffer
+	statements         statements
 	budgetMu           sync.Mutex // guards budgets
 	// budgets holds the retry budget of each service, by service name.
 	budgets map[string]*retry.Budget
--- a/server/entry/metrics.go
+++ b/server/entry/metrics.go
@@ -16,6 +16,7 @@
 	retries           prometheus.Counter
 	continuedStreams  prometheus.Counter
 	crashes           prometheus.Counter
+	serverStatements  *prometheus.CounterVec
 	lateBills         prometheus.Counter
 	panics            prometheus.Counter
 	queuedBills       prometheus.Gauge
@@ -47,6 +48,7 @@
 		retries:           counter("retries_total", "Attempts after the first one of a request."),
 		continuedStreams:  counter("continued_streams_total", "Broken streams that went on from another backend server."),
 		crashes:           counter("crash_reports_total", "Crashes of backend servers reported to the control group."),
+		serverStatements:  vector("server_statements_total", "Answers in which a backend server said that it leaves or asked to be spared.", "kind"),
 		lateBills:         counter("late_bills_total", "Answers that ended before their bill was durable."),
 		panics:            counter("panics_total", "Requests that ended with a panic."),
 		queuedBills:       gauge("queued_bills", "Bills that are not durable yet."),
@@ -59,7 +61,7 @@
 		}),
 	}
 	for _, c := range []prometheus.Collector{
-		m.requests, m.refusals, m.attempts, m.droppedAnswers, m.bills, m.ratings, m.retries, m.continuedStreams, m.crashes, m.lateBills,
+		m.requests, m.refusals, m.attempts, m.droppedAnswers, m.bills, m.ratings, m.retries, m.continuedStreams, m.crashes, m.serverStatements, m.lateBills,
 		m.panics, m.queuedBills, m.openRequests, m.waitingRequests, m.answerBufferBytes, m.firstTokenSeconds,
 	} {
 		if err := r.Register(c); err != nil {
--- a/server/entry/place.go
+++ b/server/entry/place.go
@@ -40,7 +40,7 @@
 	return &routing.Snapshot{
 		View: view.View, Fleet: &fleet, Ratings: &ratings, Now: now,
 		AvailabilityZone: h.cfg.AvailabilityZone, Region: h.cfg.Region,
-		LoadCorrection: h.loadCorrections.get, AvoidUntil: h.suspectUntil.get,
+		LoadCorrection: h.loadCorrections.get, AvoidUntil: h.suspectUntil.get, StatementOf: h.statements.lookup(),
 	}, nil
 }
 
--- a/server/entry/routed_place.go
+++ b/server/entry/routed_place.go
@@ -12,6 +12,7 @@
 	"clementinetray/api/control"
 	"clementinetray/api/problem"
 	"clementinetray/server/balance"
+	"clementinetray/server/blackboard"
 	"clementinetray/server/fleet"
 	"clementinetray/server/limits"
 	"clementinetray/server/retry"
@@ -35,6 +36,7 @@
 		return nil, problem.New(problem.Overloaded, "other requests wait for "+rq.poolName()).WithRetryAfter(time.Second)
 	}
 	call := rq.routed
+	rq.noWait = false
 	if call.route = snap.View.Catalogue.FindRoute(call.host, call.path); call.route == nil {
 		return nil, problem.New(problem.NotFound, "the route was removed")
 	}
@@ -43,9 +45,10 @@
 	balanceReq := rq.balanceRequest(pool.Engine, call.model)
 	rows, servers := routableServers(snap, rq, h.boundVersion(rq, snap))
 	if len(rows) == 0 {
-		return nil, problem.New(problem.NoBackendServer, "no backend server takes work for "+call.service).WithRetryAfter(time.Second)
+		return nil, h.noServerProblem(snap, rq)
 	}
 	h.setColdRates(snap, rows, pool.ColdPerSecond)
+	h.limitReturning(snap, rows, servers)
 	candidates := h.balance.Candidates(snap.Now, rows, balanceReq)
 	best := balance.Choose(candidates, balanceReq, rq.id)
 	if best < 0 {
@@ -66,6 +69,18 @@
 	return placed, nil
 }
 
+// noServerProblem returns why no backend server takes the request. If those that may run it have asked to be spared, the request
+// waits for the first of them, unless that is later than it may wait.
+func (h *Handler) noServerProblem(snap *routing.Snapshot, rq *request) *problem.Problem {
+	software := routing.SoftwareRulesFor(snap.View, rq.routed.service, rq.rolloutKey(), h.boundVersion(rq, snap))
+	back := earliestReturn(snap, rq, software.Allows)
+	if back.IsZero() {
+		return problem.New(problem.NoBackendServer, "no backend server takes work for "+rq.routed.service).WithRetryAfter(time.Second)
+	}
+	rq.noWait = back.After(rq.waitDeadline(snap.Now, problem.Overloaded))
+	return problem.New(problem.Overloaded, "each backend server of "+rq.routed.service+" has asked to be spared").WithRetryAfter(back.Sub(snap.Now))
+}
+
 // SetUnreadTokensSender sets the function that reports to the other entry instances how many of this instance's prompt tokens a
 // backend server has not read yet.
 func (h *Handler) SetUnreadTokensSender(send balance.NotifyFunc) { h.balance.SetNotify(send) }
@@ -91,14 +106,21 @@
 			continue
 		}
 		if instances == nil {
-			for _, m := range snap.Fleet.Members {
-				instances = append(instances, m.Instance)
-			}
+			instances = memberNames(snap.Fleet)
 		}
 		row.ColdRate = balance.ColdRate(perSecond, instances, h.cfg.Instance, row.ID)
 	}
 }
 
+// memberNames returns the ids of all entry instances.
+func memberNames(f *blackboard.Fleet) []string {
+	names := make([]string, 0, len(f.Members))
+	for _, m := range f.Members {
+		names = append(names, m.Instance)
+	}
+	return names
+}
+
 // newPlacement returns a placement on the backend server. The request counts as sent there until the placement is released.
 func (h *Handler) newPlacement(rq *request, server *control.BackendServer, balanceReq *balance.Request, coldRate float64) *placement {
 	onFirstByte, onDone := h.balance.RecordSent(time.Now(), server.ID, balanceReq, coldRate)
--- a/server/routing/contract.go
+++ b/server/routing/contract.go
@@ -25,6 +25,15 @@
 	// AvoidUntil returns the time until which this entry instance avoids a backend server after connection errors; the
 	// zero time if it doesn't avoid it.
 	AvoidUntil func(server string) time.Time
+	// StatementOf returns what a boot of a backend server said of itself in its answers to this entry instance. It is nil if
+	// none has said anything.
+	StatementOf func(server, boot string) Statement
+}
+
+// Statement is what a backend server said of itself. It gets no new work once it is leaving, or until SpareUntil.
+type Statement struct {
+	Leaving    bool
+	SpareUntil time.Time
 }
 
 // Request holds the properties of a request that a decision reads.
--- a/server/routing/server.go
+++ b/server/routing/server.go
@@ -70,7 +70,8 @@
 	return s.Fleet.ByVersion[version]
 }
 
-// routable reports whether a backend server may take new work according to its phase and the operators' orders.
+// routable reports whether a backend server may take new work according to its phase, its own statements and the operators'
+// orders.
 func routable(s *Snapshot, b *control.BackendServer) bool {
 	switch b.Phase {
 	case control.PhaseInService, control.PhaseCold, control.PhaseRamping:
@@ -80,6 +81,11 @@
 	if b.Leaving {
 		return false
 	}
+	if s.StatementOf != nil {
+		if said := s.StatementOf(b.ID, b.Boot); said.Leaving || said.SpareUntil.After(s.Now) {
+			return false
+		}
+	}
 	o := s.View.Orders
 	if o == nil {
 		return true
