--- a/api/control/messages.go
+++ b/api/control/messages.go
@@ -408,6 +408,8 @@
 	// SuspectSlow means that the time to the first token of three consecutive requests was over four times the median of
 	// the pool.
 	SuspectSlow = "slow_first_token"
+	// SuspectLeaving means that the backend server said in an answer that it is about to stop.
+	SuspectLeaving = "says_leaving"
 )
 
 // HeartbeatReply holds the grants of the entry instance. They expire TTL after it sent the request, by its own clock. 0
--- a/server/controlsvc/contract.go
+++ b/server/controlsvc/contract.go
@@ -53,6 +53,8 @@
 	Announce(now time.Time, a control.Announcement) error
 	// MarkLeaving marks one boot of a backend server as permanently leaving.
 	MarkLeaving(now time.Time, l control.Leave)
+	// MarkSaysLeaving marks a boot of a backend server as leaving until its next announcements say otherwise.
+	MarkSaysLeaving(now time.Time, id, boot string)
 	Heartbeat(now time.Time, m control.Member, leaving bool)
 	// SetPhase sets the phase of a backend server. It does nothing if the server has since announced another boot.
 	SetPhase(now time.Time, id, boot string, phase control.Phase, limit int, reason string)
--- a/server/controlsvc/fakes_test.go
+++ b/server/controlsvc/fakes_test.go
@@ -251,6 +251,15 @@
 	}
 }
 
+func (t *fakeTable) MarkSaysLeaving(now time.Time, id, boot string) {
+	t.mu.Lock()
+	b := t.servers[id]
+	t.mu.Unlock()
+	if b != nil && b.Boot == boot {
+		t.MarkLeaving(now, control.Leave{ID: id})
+	}
+}
+
 func (t *fakeTable) SetPhase(time.Time, string, string, control.Phase, int, string) {}
 
 func (t *fakeTable) Delta(_ time.Time, epoch string, version uint64) control.FleetDelta {
--- a/server/controlsvc/rpc.go
+++ b/server/controlsvc/rpc.go
@@ -141,6 +141,11 @@
 		s.ServiceRollouts.AddRolloutTimes(now, in.RolloutTimes)
 		s.ServiceRollouts.PutRolloutSamples(in.Instance, in.Boot, in.RolloutSamples)
 	}
+	for _, suspect := range in.Suspects {
+		if suspect.Reason == control.SuspectLeaving {
+			s.FleetTable.MarkSaysLeaving(now, suspect.BackendServer, suspect.Boot)
+		}
+	}
 	if effect.newCounts {
 		for _, sink := range s.OutcomeSinks {
 			sink.AddOutcomes(now, in.Instance, in.Outcomes)
--- a/server/controlsvc/rpc_test.go
+++ b/server/controlsvc/rpc_test.go
@@ -252,6 +252,25 @@
 		Expect(refused).To(BeNumerically(">", 2*maxBatchItems))
 		Expect(b.log.proposals()).To(BeEmpty())
 	})
+	// Guards against requests from instances that have not heard yet that a backend server is about to stop.
+	It("marks a backend server as leaving when an entry instance reports that it says so", func() {
+		b := newTestService(true).run()
+		b.table.put(control.BackendServer{Announcement: control.Announcement{ID: "s", Boot: "s-1"}})
+		report := func(sequence uint64, boot, reason string) {
+			Expect(b.Heartbeat(&control.HeartbeatRequest{
+				Meta: meta("b1"), Sequence: sequence, Suspects: []control.SuspectReport{{BackendServer: "s", Boot: boot, Reason: reason}},
+			}, &control.HeartbeatReply{})).To(Succeed())
+		}
+		leaving := func() bool {
+			row, _ := b.table.Server(time.Now(), "s")
+			return row.Leaving
+		}
+		report(1, "s-1", control.SuspectConnection)
+		report(2, "s-0", control.SuspectLeaving)
+		Expect(leaving()).To(BeFalse())
+		report(3, "s-1", control.SuspectLeaving)
+		Expect(leaving()).To(BeTrue())
+	})
 	It("answers CallNew again to the holder when the result of the commit was lost", func() {
 		b := newTestService(true).run()
 		b.log.update(func() { b.log.lateError = replica.ErrOutcomeUnknown.New("") })
--- a/server/entry/routed_log.go
+++ b/server/entry/routed_log.go
@@ -19,11 +19,24 @@
 		slog.String("backend_server", server.ID), slog.String("model", rq.routed.model), slog.Int("attempt", rq.attemptCount+1),
 		slog.Float64("load", c.Load), slog.Float64("queue", c.QueuedTokens), slog.Bool("cold", c.Cold), slog.Float64("doubt", c.Penalty), slog.Float64("slowness", c.Slowness),
 		slog.Int("prompt_tokens", rq.routed.PromptTokens), slog.Int("output_hint", rq.routed.OutputHint),
-		slog.Int("cached_tokens", c.CachedTokens), slog.Int("candidates", candidates), slog.Uint64("revision", snap.View.Revision),
+		slog.Int("cached_tokens", c.CachedTokens), slog.Int("candidates", candidates), slog.Int("passed_over", passedOver(snap, rq.routed.service)), slog.Uint64("revision", snap.View.Revision),
 		slog.Duration("view_age", h.cfg.Board.View.Load().Age(snap.Now)), slog.Duration("fleet_age", snap.Now.Sub(snap.Fleet.ReceivedAt)),
 		slog.Duration("waited", snap.Now.Sub(rq.start)))
 }
 
+// passedOver returns the number of backend servers of the service that get no requests because of what they said of themselves.
+func passedOver(snap *routing.Snapshot, service string) (n int) {
+	if snap.StatementOf == nil {
+		return 0
+	}
+	for _, b := range snap.Fleet.ByService[service] {
+		if said := snap.StatementOf(b.ID, b.Boot); said.Leaving || said.SpareUntil.After(snap.Now) {
+			n++
+		}
+	}
+	return n
+}
+
 // logAnswer logs an attempt that was answered. outcome is the log message, attrs are added to the attributes.
 func (h *Handler) logAnswer(x *exchange, outcome string, attrs ...any) {
 	h.cfg.Log.Info(outcome, append([]any{"request", x.rq.id, "route", x.rq.routed.route.Name, "backend_server", x.server.ID,
--- a/server/entry/statements.go
+++ b/server/entry/statements.go
@@ -180,6 +180,10 @@
 	}
 	if x.h.statements.add(serverBoot{x.server.ID, x.server.Boot}, said, x.rq.id, time.Now()) {
 		x.h.cfg.Log.Info("server_statement", "request", x.rq.id, "backend_server", x.server.ID, "boot", x.server.Boot, "leaving", said.Leaving, "spare_for", said.SpareFor)
+		x.h.recordServerEvent(x.rq, x.server, "server_statement", "leaving="+strconv.FormatBool(said.Leaving), "spare_for="+said.SpareFor.String())
+		if said.Leaving {
+			x.h.outcomes.addSuspect(control.SuspectReport{BackendServer: x.server.ID, Boot: x.server.Boot, Reason: control.SuspectLeaving})
+		}
 	}
 }
 
--- a/server/entry/statements_test.go
+++ b/server/entry/statements_test.go
@@ -63,6 +63,14 @@
 		Entry("in the head of a stream", catalogue.Route{Kind: catalogue.KindStream, Resumable: true, MaxAttempts: 3}, streamEvents(6, nil)),
 	)
 
+	It("that it leaves is reported to the control group once, with the boot", func() {
+		var calls atomic.Int64
+		s := newRoutedHarness(idempotent, counted("leaving", &calls, leavingWith(respond(http.StatusOK, "well"))), newBackend("b2", respond(http.StatusOK, "well")))
+		sendUntil(s, &calls)
+		Expect(s.handler.TakeSuspects()).To(ConsistOf(control.SuspectReport{BackendServer: "leaving", Boot: "leaving-1", Reason: control.SuspectLeaving}))
+		Expect(s.handler.TakeSuspects()).To(BeEmpty())
+	})
+
 	It("that it leaves counts from the head of a stream that still runs, and beside many requests", func() {
 		const inFlight = 32
 		var calls atomic.Int64
--- a/server/fleet/contract.go
+++ b/server/fleet/contract.go
@@ -47,6 +47,9 @@
 	// maxVersions and maxTextBytes limit the size of an announcement.
 	maxVersions  = 64
 	maxTextBytes = 256
+	// lateAnnouncementTime is how late an announcement may arrive after it was sent. Backend servers announce themselves about
+	// once a second.
+	lateAnnouncementTime = 2 * time.Second
 	// maxPastBoots is the number of earlier boots of a server whose late announcements are recognised.
 	maxPastBoots = 4
 
--- a/server/fleet/start_announcement_test.go
+++ b/server/fleet/start_announcement_test.go
@@ -45,6 +45,26 @@
 		Expect(row("s").ColdMillis).To(Equal(int64(3000)))
 	})
 
+	// Guards against requests from instances that have not heard yet that a backend server leaves, and against one that is left
+	// out for good although it goes on.
+	It("leave once they say so in an answer, until a later announcement or boot says otherwise", func() {
+		Expect(table.Announce(now, announcementWithStart("s", 1, 1))).To(Succeed())
+		boot := row("s").Boot
+		table.MarkSaysLeaving(now, "s", "another boot")
+		table.MarkSaysLeaving(now, "unknown", boot)
+		Expect(row("s").Leaving).To(BeFalse())
+		table.MarkSaysLeaving(now, "s", boot)
+		Expect(row("s").Leaving).To(BeTrue())
+		Expect(row("s").Phase).To(Equal(control.PhaseLeaving))
+		Expect(table.Announce(now.Add(time.Second), announcementWithStart("s", 1, 2))).To(Succeed())
+		Expect(row("s").Leaving).To(BeTrue(), "the announcement may be older than the answer")
+		Expect(table.Announce(now.Add(3*time.Second), announcementWithStart("s", 1, 3))).To(Succeed())
+		Expect(row("s").Leaving).To(BeFalse())
+		table.MarkSaysLeaving(now.Add(3*time.Second), "s", boot)
+		Expect(table.Announce(now.Add(3*time.Second), announcementWithStart("s", 2, 1))).To(Succeed())
+		Expect(row("s").Leaving).To(BeFalse(), "a new boot starts without it")
+	})
+
 	// Each case guards against one odd announcement, by another program, that takes the backend server at its address or with its
 	// id out of service, or makes its times overflow.
 	DescribeTable("odd announcements are refused, and the backend server stays in service",
--- a/server/fleet/table.go
+++ b/server/fleet/table.go
@@ -47,7 +47,9 @@
 	expiresAt    time.Time
 	// prefixesReplacedAt is when the prefix hashes were last replaced.
 	prefixesReplacedAt time.Time
-	pastBoots          []string
+	// saysLeavingAt is when an entry instance reported that the backend server says that it leaves; zero if none has.
+	saysLeavingAt time.Time
+	pastBoots     []string
 	// Table versions of the last change of the row, of its load and of its prefix hashes.
 	changedIn, loadIn, hashesIn uint64
 }
@@ -171,6 +173,25 @@
 	r.changedIn, t.nonLoadVersion = t.version, t.version
 }
 
+// MarkSaysLeaving marks a boot of a backend server as leaving, because it said so in an answer to an entry instance. Announcements
+// that it may have sent before that don't change it, later ones do.
+func (t *Table) MarkSaysLeaving(now time.Time, id, boot string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.removeExpired(now)
+	r := t.rows[id]
+	if r == nil || r.server.Boot != boot || r.server.Leaving {
+		return
+	}
+	r.saysLeavingAt = now
+	r.server.Leaving, r.server.Reason = true, "says in its answers that it leaves"
+	if r.server.StatesCold {
+		r.server.Phase = control.PhaseLeaving
+	}
+	t.version++
+	r.changedIn, t.nonLoadVersion = t.version, t.version
+}
+
 func validate(now time.Time, a control.Announcement) error {
 	for field, text := range map[string]string{"id": a.ID, "address": a.Address, "boot": a.Boot} {
 		if text == "" || len(text) > maxTextBytes {
@@ -208,7 +229,7 @@
 
 func markCold(r *row, a control.Announcement) {
 	r.server.Phase, r.server.Limit, r.server.Reason = control.PhaseCold, ColdLimit(a), "new boot number"
-	r.prefixesReplacedAt, r.server.Deregistered = time.Time{}, false
+	r.prefixesReplacedAt, r.saysLeavingAt, r.server.Deregistered = time.Time{}, time.Time{}, false
 }
 
 // ColdLimit returns the number of concurrent requests that a backend server may have right after its start.
@@ -216,7 +237,7 @@
 
 func (t *Table) applyAnnouncement(now time.Time, r *row, a control.Announcement) {
 	t.version++
-	a.Leaving = a.Leaving || r.server.Deregistered
+	a.Leaving = a.Leaving || r.server.Deregistered || !r.saysLeavingAt.IsZero() && now.Sub(r.saysLeavingAt) < lateAnnouncementTime
 	old := r.server.Announcement
 	prefixes := t.acceptPrefixes(now, r, a)
 	same := sameIdentity(old, a) && !r.server.Silent
--- a/server/lifecycle/reports.go
+++ b/server/lifecycle/reports.go
@@ -163,7 +163,7 @@
 	defer c.mu.Unlock()
 	for _, r := range reports {
 		s := c.servers[r.BackendServer]
-		if s == nil || s.boot != r.Boot || !c.countReport(now, instance, r.BackendServer) {
+		if s == nil || s.boot != r.Boot || r.Reason == control.SuspectLeaving || !c.countReport(now, instance, r.BackendServer) {
 			continue
 		}
 		if r.Reason == control.SuspectSlow {
