--- a/server/entry/dispatch.go
+++ b/server/entry/dispatch.go
@@ -142,7 +142,7 @@
 	x.running.touch()
 	if rq.routed != nil {
 		x.answerMetadata = h.cfg.Dialect.ReadAnswer(x.response)
-		x.answerBegan(time.Now())
+		x.recordPromptness(time.Now())
 	}
 	if f := x.checkAnswerID(); f != nil {
 		return x, f
--- a/server/entry/rolloutsamples.go
+++ b/server/entry/rolloutsamples.go
@@ -108,8 +108,8 @@
 	}
 }
 
-// answerBegan counts the attempt as prompt or overdue when its answer begins.
-func (x *exchange) answerBegan(now time.Time) {
+// recordPromptness counts the attempt as prompt or overdue when its answer begins.
+func (x *exchange) recordPromptness(now time.Time) {
 	target := x.targetTime
 	if target <= 0 || x.cold || !x.promptness.CompareAndSwap(promptnessUnknown, promptnessCounted) {
 		return
@@ -126,7 +126,7 @@
 // checkOverdue counts the attempt as overdue if its answer has not begun within the route's target time.
 func (x *exchange) checkOverdue(now time.Time) {
 	if now.Sub(x.began) > x.targetTime {
-		x.answerBegan(now)
+		x.recordPromptness(now)
 	}
 }
 
--- a/server/entry/routed_parts.go
+++ b/server/entry/routed_parts.go
@@ -27,9 +27,9 @@
 	// maxTrackedParts and maxDroppedAttempts bound what a partWatch keeps.
 	maxTrackedParts    = 20_000
 	maxDroppedAttempts = 2_000
-	// retriedUnansweredCrashes is the number of backend servers that must crash on a request before any part of an answer, so
-	// that its parts are reported.
-	retriedUnansweredCrashes = 2
+	// minUnansweredCrashes is the number of backend servers that must have crashed on a request whose answers had not begun
+	// before its parts are reported.
+	minUnansweredCrashes = 2
 )
 
 // partWatch knows the prompt parts with which answers began, and the parts that are quarantined because they crash backend
@@ -105,8 +105,8 @@
 	})
 }
 
-// quarantine merges the parts of the view with those that were just reported, and notes when each part was first seen.
-func (w *partWatch) quarantine(view map[string]control.QuarantinedPart, now time.Time) map[string]control.QuarantinedPart {
+// currentQuarantine merges the parts of the view with those that were just reported, and notes when each part was first seen.
+func (w *partWatch) currentQuarantine(view map[string]control.QuarantinedPart, now time.Time) map[string]control.QuarantinedPart {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	merged := view
@@ -201,7 +201,7 @@
 	if view := h.cfg.Board.View.Load(); view.View != nil && view.Quarantine != nil {
 		parts = view.Quarantine.Parts
 	}
-	return h.parts.quarantine(parts, now)
+	return h.parts.currentQuarantine(parts, now)
 }
 
 // checkPartQuarantine refuses a request whose prompt has parts that crash backend servers. Until partObjectionTime has passed
@@ -272,7 +272,7 @@
 	if f.sentEvents {
 		return nil
 	}
-	if !f.answerBegan && len(rq.unansweredCrashes) < retriedUnansweredCrashes {
+	if !f.answerBegan && len(rq.unansweredCrashes) < minUnansweredCrashes {
 		return nil
 	}
 	return h.parts.unanswered(rq.routed.sharedParts(), time.Now())
--- a/server/entry/routed_place.go
+++ b/server/entry/routed_place.go
@@ -162,10 +162,10 @@
 // matchingServers returns the backend servers of the request's service that take new work and whose version matches. coldTime is
 // how long they are cold after their start.
 func matchingServers(snap *routing.Snapshot, rq *request, versionMatches func(version string) bool, coldTime time.Duration) ([]balance.Row, []*control.BackendServer) {
-	var rows []balance.Row
-	var servers []*control.BackendServer
+	pool := snap.Fleet.ByService[rq.routed.service]
+	rows, servers := make([]balance.Row, 0, len(pool)), make([]*control.BackendServer, 0, len(pool))
 	fleetAge := snap.Now.Sub(snap.Fleet.ReceivedAt)
-	for _, b := range snap.Fleet.ByService[rq.routed.service] {
+	for _, b := range pool {
 		if !routing.Routable(snap, b) || rq.route.Exclude[b.ID] || !versionMatches(b.SoftwareVersion) {
 			continue
 		}
--- a/server/rollout/service.go
+++ b/server/rollout/service.go
@@ -225,9 +225,9 @@
 // if recordInterval has passed since the last record.
 func (c *ServiceController) advance(ctx context.Context, r control.ServiceRollout, t *serviceTrial, now time.Time) {
 	t.evidence.update(c.sumSamples(r))
-	judgement := t.evidence.judge()
-	next := nextProgress(r, c.exposure, c.elapsed(r, t, now), judgement)
-	if next.State == control.RolloutRolledBack && judgement.fault == "" && now.Sub(t.seenAt) < minObservation {
+	current := t.evidence.assess()
+	next := nextProgress(r, c.exposure, c.elapsed(r, t, now), current)
+	if next.State == control.RolloutRolledBack && current.fault == "" && now.Sub(t.seenAt) < minObservation {
 		// A new leader has no counts yet, so too few requests don't end the roll-out until it has observed it for a while.
 		next.State, next.Reason = control.RolloutRunning, r.Reason
 	}
@@ -235,7 +235,7 @@
 	if !changed && next.ElapsedMillis-r.ElapsedMillis < recordInterval.Milliseconds() {
 		return
 	}
-	c.logEvidence(&next, t.evidence, judgement)
+	c.logEvidence(&next, t.evidence, current)
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	command := &controlstate.Command{AdvanceServiceRollout: &controlstate.AdvanceServiceRollout{Progress: next}}
@@ -247,7 +247,7 @@
 		return
 	}
 	c.log.Info("service_rollout", "service", r.Service, "to", r.To, "order", r.Order, "state", next.State, "percent", next.Percent,
-		"settled", next.Settled, "elapsed_millis", next.ElapsedMillis, "served", judgement.served, "reason", next.Reason)
+		"settled", next.Settled, "elapsed_millis", next.ElapsedMillis, "served", current.served, "reason", next.Reason)
 	c.recorder.Record(event.Event{Kind: EventRollout, Reason: next.Reason, Detail: map[string]string{
 		"service": r.Service, "to": r.To, "state": string(next.State), "percent": strconv.Itoa(next.Percent),
 	}})
@@ -255,13 +255,13 @@
 
 // logEvidence logs what the decisions on a roll-out are based on: log likelihood ratios of failures and overdue answers, and the
 // ratios of times, new version to old.
-func (c *ServiceController) logEvidence(r *control.ServiceRollout, e *serviceEvidence, v verdict) {
+func (c *ServiceController) logEvidence(r *control.ServiceRollout, e *serviceEvidence, a assessment) {
 	first, interval := compareTimes(selectTimes(e.first, "")), compareTimes(selectTimes(e.interval, ""))
 	c.log.Info("service_rollout_compared", "service", r.Service, "to", r.To, "order", r.Order, "elapsed_millis", r.ElapsedMillis, "percent", r.Percent,
 		"served", e.served, "failed", e.failed, "old_sound_fraction", e.failures.baseFactor, "failure_evidence", e.failures.overall, "overdue_evidence", e.overdue.overall,
 		"first_times", int(first.count), "first_ratio", math.Exp(first.mean), "first_std_error", first.stdError,
 		"intervals", int(interval.count), "interval_ratio", math.Exp(interval.mean), "interval_std_error", interval.stdError,
-		"accepted", v.accepted, "fault", v.fault, "missing", v.missing)
+		"accepted", a.accepted, "fault", a.fault, "missing", a.missing)
 	for route, old := range e.failures.oldRates {
 		c.log.Info("service_rollout_route_compared", "service", r.Service, "order", r.Order, "route", route, "old_failure_rate", old.mean(),
 			"failure_evidence", e.failures.ratios[route], "overdue_evidence", e.overdue.ratios[route],
--- a/server/rollout/service_comparison.go
+++ b/server/rollout/service_comparison.go
@@ -290,8 +290,8 @@
 	return out
 }
 
-// verdict is what a roll-out knows about its new version.
-type verdict struct {
+// assessment is what a roll-out knows about its new version.
+type assessment struct {
 	// served is the number of attempts on the new version.
 	served int
 	// fault says how the new version is worse; empty if it is not known to be.
@@ -302,32 +302,32 @@
 	missing  string
 }
 
-// judge compares the versions over all routes and on each route, because a version may be bad on one route only.
-func (e *serviceEvidence) judge() verdict {
-	v := verdict{served: e.served}
+// assess compares the versions over all routes and on each route, because a version may be bad on one route only.
+func (e *serviceEvidence) assess() assessment {
+	a := assessment{served: e.served}
 	if route, worse := e.failures.badRoute(); worse {
-		v.fault = onRoute("fails more often than the old version", route)
-		return v
+		a.fault = onRoute("fails more often than the old version", route)
+		return a
 	}
 	if route, worse := e.overdue.badRoute(); worse {
-		v.fault = onRoute("begins more answers too late than the old version", route)
-		return v
+		a.fault = onRoute("begins more answers too late than the old version", route)
+		return a
 	}
 	routes := e.routes()
 	routes[""] = true
 	for route := range routes {
 		if compareTimes(selectTimes(e.first, route)).isSlower(minTimes, minSlowRatio) {
-			v.fault = onRoute("answers more slowly than the old version", route)
-			return v
+			a.fault = onRoute("answers more slowly than the old version", route)
+			return a
 		}
 		if compareTimes(selectTimes(e.interval, route)).isSlower(minIntervals, minSlowIntervalRatio) {
-			v.fault = onRoute("pauses longer between events than the old version", route)
-			return v
+			a.fault = onRoute("pauses longer between events than the old version", route)
+			return a
 		}
 	}
-	v.missing = e.missing()
-	v.accepted = v.missing == ""
-	return v
+	a.missing = e.missing()
+	a.accepted = a.missing == ""
+	return a
 }
 
 func onRoute(fault, route string) string {
--- a/server/rollout/service_schedule.go
+++ b/server/rollout/service_schedule.go
@@ -26,28 +26,28 @@
 // nextProgress returns the progress of a roll-out that has run for elapsed. A version is kept only if the requests show that it
 // is as good as the old one. Too few of them lead to a larger share at first, and to a rollback at the time limit. exposure is
 // the largest share, 0 to 1, of the requests within the time limit that may go to a version that turns out to be bad.
-func nextProgress(r control.ServiceRollout, exposure float64, elapsed time.Duration, v verdict) control.ServiceRollout {
+func nextProgress(r control.ServiceRollout, exposure float64, elapsed time.Duration, a assessment) control.ServiceRollout {
 	next := r
 	limit := time.Duration(r.Seconds) * time.Second
 	next.ElapsedMillis = elapsed.Milliseconds()
 	next.ExposedMillis = r.ExposedMillis + (next.ElapsedMillis-r.ElapsedMillis)*int64(r.Percent)/100
 	elapsedPercent := int(100 * elapsed / max(limit, time.Millisecond))
 	switch {
-	case v.fault != "":
-		next.State, next.Reason = control.RolloutRolledBack, v.fault
-	case elapsedPercent >= doneFromPercent && v.accepted:
+	case a.fault != "":
+		next.State, next.Reason = control.RolloutRolledBack, a.fault
+	case elapsedPercent >= doneFromPercent && a.accepted:
 		next.State, next.Reason = control.RolloutDone, "no fault was found"
 	case elapsedPercent >= 100:
-		next.State, next.Reason = control.RolloutRolledBack, "too few requests to show "+v.missing
+		next.State, next.Reason = control.RolloutRolledBack, "too few requests to show "+a.missing
 	}
 	// A version that fails only under load, or only after some time, may show no fault before it serves all requests.
 	exposed := time.Duration(next.ExposedMillis)*time.Millisecond + limit - elapsed
 	allowed := time.Duration(exposure * exposureMargin * float64(limit))
 	mayServeAll := elapsedPercent >= latestAllPercent || elapsedPercent >= settledFromPercent && exposed <= allowed
 	switch {
-	case mayServeAll && v.accepted:
+	case mayServeAll && a.accepted:
 		next.Percent = 100
-	case elapsedPercent >= settledFromPercent && !v.accepted:
+	case elapsedPercent >= settledFromPercent && !a.accepted:
 		next.Percent = max(r.Percent, control.ExtendedRolloutPercent)
 	case elapsedPercent >= startFromPercent:
 		next.Percent = max(r.Percent, control.InitialRolloutPercent)
--- a/server/rollout/service_test.go
+++ b/server/rollout/service_test.go
@@ -38,17 +38,17 @@
 	return t
 }
 
-// judgeSamples returns the verdict on totals that arrive at once.
-func judgeSamples(samples ...control.RolloutSample) verdict {
+// assessSamples returns the assessment of totals that arrive at once.
+func assessSamples(samples ...control.RolloutSample) assessment {
 	c := NewServiceController(nil, nil, 0.15, nil, nil)
 	c.PutRolloutSamples("e1", "boot", samples)
 	e := newServiceEvidence()
 	e.update(c.sumSamples(control.ServiceRollout{Service: "pool", Order: 1, To: "v2"}))
-	return e.judge()
+	return e.assess()
 }
 
 // Guards against a bad version that is kept, and a good one that is rolled back.
-func TestJudgeSamples(t *testing.T) {
+func TestAssessSamples(t *testing.T) {
 	cases := []struct {
 		desc                  string
 		oldFails, newFails    float64
@@ -68,7 +68,7 @@
 		t.Run(c.desc, func(t *testing.T) {
 			rng, bad := rand.New(rand.NewPCG(1, 2)), 0
 			for range 100 {
-				if judgeSamples(drawSample(rng, false, 300, c.oldFails, c.oldFirst), drawSample(rng, true, c.requests, c.newFails, c.newFirst)).fault != "" {
+				if assessSamples(drawSample(rng, false, 300, c.oldFails, c.oldFirst), drawSample(rng, true, c.requests, c.newFails, c.newFirst)).fault != "" {
 					bad++
 				}
 			}
@@ -84,7 +84,7 @@
 	rng := rand.New(rand.NewPCG(3, 4))
 	old := drawSample(rng, false, 300, 0.01, 100*time.Millisecond)
 	good := drawSample(rng, true, 30, 0, 100*time.Millisecond)
-	if v := judgeSamples(old, good); !v.accepted {
+	if v := assessSamples(old, good); !v.accepted {
 		t.Errorf("30 good answers are not enough: %+v", v)
 	}
 	for desc, fresh := range map[string]control.RolloutSample{
@@ -92,13 +92,13 @@
 		"answers without times":        {Service: "pool", Order: 1, Route: "drafts", New: true, Requests: 30},
 		"a sixth of the answers fails": {Service: "pool", Order: 1, Route: "drafts", New: true, Requests: 30, Failures: 5, First: good.First},
 	} {
-		if v := judgeSamples(old, fresh); v.accepted || v.missing == "" && v.fault == "" {
+		if v := assessSamples(old, fresh); v.accepted || v.missing == "" && v.fault == "" {
 			t.Errorf("%s are accepted: %+v", desc, v)
 		}
 	}
 	streams := old
 	streams.Interval = withTimes(streams.Interval, 3.5, 3.5, 3.6, 3.5)
-	if v := judgeSamples(streams, good); v.accepted {
+	if v := assessSamples(streams, good); v.accepted {
 		t.Errorf("a version whose streams are unknown is accepted: %+v", v)
 	}
 }
@@ -115,10 +115,10 @@
 		return s
 	}
 	old := []control.RolloutSample{sample("small", false, 200, 100, 33), sample("large", false, 50, 400, 330)}
-	if v := judgeSamples(append(old, sample("small", true, 6, 110, 130))...); v.fault == "" {
+	if v := assessSamples(append(old, sample("small", true, 6, 110, 130))...); v.fault == "" {
 		t.Errorf("a version with four times the pauses is not found after six streams: %+v", v)
 	}
-	if v := judgeSamples(append(old, sample("small", true, 4, 100, 33), sample("large", true, 30, 400, 330))...); v.fault != "" || !v.accepted {
+	if v := assessSamples(append(old, sample("small", true, 4, 100, 33), sample("large", true, 30, 400, 330))...); v.fault != "" || !v.accepted {
 		t.Errorf("a version with more requests on the larger model: %+v", v)
 	}
 }
@@ -127,7 +127,7 @@
 func TestOverdueAnswers(t *testing.T) {
 	old := control.RolloutSample{Service: "pool", Order: 1, Route: "drafts", Requests: 300, Prompt: 298, Overdue: 2}
 	fresh := control.RolloutSample{Service: "pool", Order: 1, Route: "drafts", New: true, Requests: 6, Prompt: 6, Overdue: 6}
-	if v := judgeSamples(old, fresh); v.fault == "" {
+	if v := assessSamples(old, fresh); v.fault == "" {
 		t.Errorf("a version with half of its answers overdue is not found: %+v", v)
 	}
 }
@@ -145,21 +145,21 @@
 		outcomes = append(outcomes, control.Outcome{Service: "pool", SoftwareVersion: "v1", BackendServer: strconv.Itoa(i), Requests: 100, Failures: failures})
 	}
 	c.AddOutcomes(time.Now(), "e1", outcomes)
-	judge := func(old, fresh control.RolloutSample) verdict {
+	assess := func(old, fresh control.RolloutSample) assessment {
 		c.PutRolloutSamples("e1", "boot", []control.RolloutSample{old, fresh})
 		e := newServiceEvidence()
 		e.update(c.sumSamples(control.ServiceRollout{Service: "pool", Order: 1, To: "v2"}))
-		return e.judge()
+		return e.assess()
 	}
 	// A version that fails in 3 of 10 requests has its 50th bad answer after about 167.
 	const requests = 100
 	rng, found, lost := rand.New(rand.NewPCG(5, 6)), 0, 0
 	for range 100 {
 		old := drawSample(rng, false, 1500, 0.18, 100*time.Millisecond)
-		if judge(old, drawSample(rng, true, requests, 0.3, 100*time.Millisecond)).fault != "" {
+		if assess(old, drawSample(rng, true, requests, 0.3, 100*time.Millisecond)).fault != "" {
 			found++
 		}
-		if judge(old, drawSample(rng, true, requests, 0.01, 100*time.Millisecond)).fault != "" {
+		if assess(old, drawSample(rng, true, requests, 0.01, 100*time.Millisecond)).fault != "" {
 			lost++
 		}
 	}
@@ -179,14 +179,14 @@
 		e := newServiceEvidence()
 		totals := map[sampleKey]control.RolloutSample{{stratum{route: "drafts"}, false}: old, {stratum{route: "drafts"}, true}: fresh}
 		e.update(totals, 1)
-		if v := e.judge(); v.fault != "" {
+		if v := e.assess(); v.fault != "" {
 			t.Fatalf("the good answers: %+v", v)
 		}
 		fresh.Requests += 24
 		change(&fresh)
 		totals[sampleKey{stratum{route: "drafts"}, true}] = fresh
 		e.update(totals, 1)
-		if v := e.judge(); v.fault == "" {
+		if v := e.assess(); v.fault == "" {
 			t.Errorf("a version that turned bad (%s) is not found: %+v", desc, v)
 		}
 	}
@@ -216,15 +216,15 @@
 
 // Guards against a roll-out that ends too late, too early, or moves sessions in its first half.
 func TestNextProgress(t *testing.T) {
-	accepted, undecided := verdict{served: 50, accepted: true}, verdict{served: 9, missing: "anything"}
+	accepted, undecided := assessment{served: 50, accepted: true}, assessment{served: 9, missing: "anything"}
 	r := control.ServiceRollout{Service: "pool", To: "v2", Seconds: 20, State: control.RolloutRunning}
 	cases := []struct {
-		desc    string
-		elapsed time.Duration
-		verdict verdict
-		state   control.RolloutState
-		percent int
-		settled bool
+		desc       string
+		elapsed    time.Duration
+		assessment assessment
+		state      control.RolloutState
+		percent    int
+		settled    bool
 	}{
 		{"sends no requests to the new version before all instances have the open sessions", 1500 * time.Millisecond, undecided, control.RolloutRunning, 0, false},
 		{"starts with a small share", 1600 * time.Millisecond, undecided, control.RolloutRunning, control.InitialRolloutPercent, false},
@@ -235,12 +235,12 @@
 		{"gives an undecided version a larger share when sessions may move", 10 * time.Second, undecided, control.RolloutRunning, control.ExtendedRolloutPercent, true},
 		{"does not send all requests to an undecided version", 19 * time.Second, undecided, control.RolloutRunning, control.ExtendedRolloutPercent, true},
 		{"is rolled back at the time limit when it is undecided", 20 * time.Second, undecided, control.RolloutRolledBack, control.ExtendedRolloutPercent, true},
-		{"is rolled back at once when it is bad", 3 * time.Second, verdict{fault: "fails"}, control.RolloutRolledBack, control.InitialRolloutPercent, false},
-		{"is rolled back when it turns bad late", 19 * time.Second, verdict{fault: "fails"}, control.RolloutRolledBack, control.ExtendedRolloutPercent, true},
+		{"is rolled back at once when it is bad", 3 * time.Second, assessment{fault: "fails"}, control.RolloutRolledBack, control.InitialRolloutPercent, false},
+		{"is rolled back when it turns bad late", 19 * time.Second, assessment{fault: "fails"}, control.RolloutRolledBack, control.ExtendedRolloutPercent, true},
 	}
 	for _, c := range cases {
 		t.Run(c.desc, func(t *testing.T) {
-			next := nextProgress(r, 0.15, c.elapsed, c.verdict)
+			next := nextProgress(r, 0.15, c.elapsed, c.assessment)
 			if next.State != c.state || next.Percent != c.percent || next.Settled != c.settled {
 				t.Errorf("state %s, %d%%, settled %t; want %s, %d%%, %t", next.State, next.Percent, next.Settled, c.state, c.percent, c.settled)
 			}
@@ -270,7 +270,7 @@
 				exposed, failures, stoppedAt := 0.0, 0.0, never
 				const step = 50 * time.Millisecond
 				for at := time.Duration(0); at < limit; at += step {
-					progress := nextProgress(r, c.exposure, at, verdict{served: 50, accepted: at >= acceptedFrom, missing: "anything"})
+					progress := nextProgress(r, c.exposure, at, assessment{served: 50, accepted: at >= acceptedFrom, missing: "anything"})
 					r.Percent, r.Settled, r.ElapsedMillis, r.ExposedMillis = progress.Percent, progress.Settled, progress.ElapsedMillis, progress.ExposedMillis
 					percent := progress.Percent
 					if progress.State == control.RolloutDone {
@@ -297,15 +297,15 @@
 }
 
 // Guards against a version that is bad on one route only, which the counts over all routes hide.
-func TestEachRouteIsJudged(t *testing.T) {
+func TestEachRouteIsAssessed(t *testing.T) {
 	sample := func(isNew bool, route string, requests, failures int) control.RolloutSample {
 		return control.RolloutSample{Service: "pool", Order: 1, New: isNew, Route: route, Requests: requests, Failures: failures}
 	}
 	samples := []control.RolloutSample{sample(false, "drafts", 400, 2), sample(false, "tags", 400, 2), sample(true, "drafts", 100, 0)}
-	if v := judgeSamples(samples...); v.fault != "" {
+	if v := assessSamples(samples...); v.fault != "" {
 		t.Fatalf("a version without failures is %q", v.fault)
 	}
-	v := judgeSamples(append(samples, sample(true, "tags", 8, 5))...)
+	v := assessSamples(append(samples, sample(true, "tags", 8, 5))...)
 	if v.served != 108 || v.fault == "" {
 		t.Fatalf("served %d, fault %q; want 108 and a fault", v.served, v.fault)
 	}
