soak: backend servers say that they leave, or ask to be spared

The soak draws both beside all other steps, with random numbers of their own so that seeds keep their other steps, and checks from what callers and backend servers see that an instance obeys; restarts, freezes, stops and cuts of the instance excuse it.

--- a/standin/soak/backend.go
+++ b/standin/soak/backend.go
@@ -24,31 +24,91 @@
 	// Request is the id that the caller gave the request. Zone is the availability zone of the backend server.
 	Request, Zone string
 	At            time.Time
+	// Server is the number of the backend server. Leaving is the number of the period in which it says that it leaves, 0
+	// outside of them.
+	Server, Leaving int
+}
+
+// Refusal is a request that a backend server refused, as it asked to be spared until Until.
+type Refusal struct {
+	Request   string
+	Server    int
+	At, Until time.Time
 }
 
 // arrivalLog records which requests reached the backend servers.
 type arrivalLog struct {
-	mu   sync.Mutex // guards byID
-	byID map[string][]Arrival
+	mu       sync.Mutex // guards the fields below
+	byID     map[string][]Arrival
+	refusals []Refusal
+	// statements holds what each backend server says of itself, by its number. leavingCount is the number of periods so far in
+	// which one says that it leaves.
+	statements   map[int]statement
+	leavingCount int
+}
+
+// statement is what a backend server says of itself in its answers.
+type statement struct {
+	leaving    int
+	spareUntil time.Time
+}
+
+func newArrivalLog() *arrivalLog {
+	return &arrivalLog{byID: map[string][]Arrival{}, statements: map[int]statement{}}
+}
+
+// sayLeaving makes a backend server say that it leaves until stop is called.
+func (r *arrivalLog) sayLeaving(server int) (stop func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leavingCount++
+	r.statements[server] = statement{leaving: r.leavingCount}
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.statements, server)
+	}
 }
 
-func newArrivalLog() *arrivalLog { return &arrivalLog{byID: map[string][]Arrival{}} }
+// askToSpare makes a backend server refuse all requests for a while and say so.
+func (r *arrivalLog) askToSpare(server int, d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.statements[server] = statement{spareUntil: time.Now().Add(d)}
+}
 
-func (r *arrivalLog) record(arrival Arrival) {
+// arrive records a request and returns what the backend server says of itself. It is refused if the time to spare is over 0.
+func (r *arrivalLog) arrive(arrival Arrival) (leaving bool, spareFor time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	said := r.statements[arrival.Server]
+	if spareFor = said.spareUntil.Sub(arrival.At); spareFor > 0 {
+		r.refusals = append(r.refusals, Refusal{Request: arrival.Request, Server: arrival.Server, At: arrival.At, Until: said.spareUntil})
+		return false, spareFor
+	}
+	arrival.Leaving = said.leaving
 	r.byID[arrival.Request] = append(r.byID[arrival.Request], arrival)
+	return said.leaving > 0, 0
 }
 
 // handler returns the application of a backend server in zone: POST /KIND/ID runs the request ID.
-func (r *arrivalLog) handler(zone string) http.Handler {
+func (r *arrivalLog) handler(zone string, server int) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		kind, id, ok := strings.Cut(strings.TrimPrefix(req.URL.Path, "/"), "/")
 		if _, err := io.Copy(io.Discard, req.Body); err != nil || !ok {
 			return
 		}
 		last, _ := strconv.Atoi(req.Header.Get("Last-Event-ID"))
-		r.record(Arrival{Request: id, Zone: zone, At: time.Now()})
+		leaving, spareFor := r.arrive(Arrival{Request: id, Zone: zone, At: time.Now(), Server: server})
+		if spareFor > 0 {
+			w.Header().Set("Clementinetray-Not-Run", "1")
+			w.Header().Set("Retry-After", strconv.FormatFloat(spareFor.Seconds(), 'f', 3, 64))
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if leaving {
+			w.Header().Set("Clementinetray-Leaving", "1")
+		}
 		if kind == string(Stream) {
 			streamAfter(w, req, id, last)
 			return
--- a/standin/soak/guarantees.go
+++ b/standin/soak/guarantees.go
@@ -26,6 +26,8 @@
 	BilledOnce       Guarantee = "each answered completion is billed once"
 	StopKeepsAnswers Guarantee = "a planned stop cuts no answer that has begun"
 	NoUnexpectedExit Guarantee = "no process exits unexpectedly"
+	LeavingObeyed    Guarantee = "an instance that passed on a leaving flag sends the backend server no requests that came later"
+	SpareObeyed      Guarantee = "an instance that a backend server asked to be spared sends it at most two requests in that time"
 	Recovers         Guarantee = "every instance serves again after the last fault"
 )
 
@@ -61,6 +63,10 @@
 	Faults []Span
 	// Stops are the planned stops, from the signal to the exit of the process.
 	Stops []Span
+	// Refusals are the requests that backend servers refused, as they asked to be spared.
+	Refusals []Refusal
+	// Interrupted holds the periods in which an instance was killed, suspended, stopped or cut off.
+	Interrupted []Span
 	// Killed holds the indexes of the instances that a step killed.
 	Killed map[int]bool
 	// Billed is the number of bills of the callers' workspace; BillsKnown is false when they could not be read.
@@ -101,9 +107,85 @@
 			add(StopKeepsAnswers, o, "ended=%t body=%d bytes although it had run", o.BodyRead, len(o.Body))
 		}
 	}
+	found = append(found, h.checkLeaving()...)
+	found = append(found, h.checkSpared()...)
 	return append(found, h.checkBills()...)
 }
 
+const (
+	// drainLimit is how much later than the end of an answer with a leaving flag a request must come to be covered by
+	// LeavingObeyed.
+	drainLimit = 2 * time.Second
+	// spareSlack is how soon after a refusal SpareObeyed begins, and spareAllowance the number of requests that it allows.
+	spareSlack     = 500 * time.Millisecond
+	spareAllowance = 2
+)
+
+// interrupted reports whether an instance was killed, suspended, stopped or cut off between two times.
+func (h *History) interrupted(instance int, from, to time.Time) bool {
+	for _, s := range h.Interrupted {
+		if s.Instance == instance && s.Begin.Before(to) && (s.End.IsZero() || s.End.After(from)) {
+			return true
+		}
+	}
+	return false
+}
+
+// checkLeaving checks the requests that came after their instance had passed on an answer with a leaving flag.
+func (h *History) checkLeaving() []Violation {
+	type period struct{ instance, server, leaving int }
+	passedOn := map[period]time.Time{}
+	eachArrival := func(visit func(p period, o *Outcome, a Arrival)) {
+		for i := range h.Outcomes {
+			o := &h.Outcomes[i]
+			for _, a := range h.Arrivals[o.ID] {
+				if a.Leaving > 0 {
+					visit(period{o.Instance, a.Server, a.Leaving}, o, a)
+				}
+			}
+		}
+	}
+	eachArrival(func(p period, o *Outcome, _ Arrival) {
+		if first, ok := passedOn[p]; o.Status == 200 && (!ok || o.End.Before(first)) {
+			passedOn[p] = o.End
+		}
+	})
+	var found []Violation
+	eachArrival(func(p period, o *Outcome, a Arrival) {
+		first, ok := passedOn[p]
+		if ok && o.Began.After(first.Add(drainLimit)) && !h.interrupted(p.instance, first, a.At) {
+			found = append(found, Violation{LeavingObeyed, fmt.Sprintf("request=%s instance=%d server=%d: it came %s after the flag", o.ID, p.instance, p.server, o.Began.Sub(first))})
+		}
+	})
+	return found
+}
+
+// checkSpared checks the requests that reached a backend server while it asked their instance to be spared.
+func (h *History) checkSpared() []Violation {
+	instanceOf := map[string]int{}
+	for i := range h.Outcomes {
+		instanceOf[h.Outcomes[i].ID] = h.Outcomes[i].Instance
+	}
+	var found []Violation
+	for _, first := range h.Refusals {
+		instance, ok := instanceOf[first.Request]
+		if !ok || h.interrupted(instance, first.At, first.Until) {
+			continue
+		}
+		count := 0
+		for _, later := range h.Refusals {
+			by, known := instanceOf[later.Request]
+			if known && by == instance && later.Server == first.Server && later.At.After(first.At.Add(spareSlack)) && later.At.Before(first.Until) {
+				count++
+			}
+		}
+		if count > spareAllowance {
+			found = append(found, Violation{SpareObeyed, fmt.Sprintf("request=%s instance=%d server=%d: %d requests came in the %s after it", first.Request, instance, first.Server, count, first.Until.Sub(first.At))})
+		}
+	}
+	return found
+}
+
 // checkAnswer checks that a successful answer is whole, and that a stream that was cut is a prefix of the whole one.
 func (h *History) checkAnswer(o *Outcome, add func(Guarantee, *Outcome, string, ...any)) {
 	switch {
--- a/standin/soak/plan.go
+++ b/standin/soak/plan.go
@@ -26,6 +26,8 @@
 	CutServerAnswers Kind = "cutback"  // silent loss of what a backend server answers
 	ResetServer      Kind = "resetat"  // open connections to a backend server are reset
 	DropServerData   Kind = "silentat" // open connections to a backend server pass no more data
+	SayLeaving       Kind = "says"     // a backend server says in its answers that it leaves, then restarts
+	AskToSpare       Kind = "spare"    // a backend server refuses requests and asks to be spared
 
 	Stop          Kind = "stop"    // SIGTERM, then a restart
 	Reload        Kind = "reload"  // SIGHUP
@@ -42,7 +44,9 @@
 	diskFaults = []Kind{LoseDisk, TornTail}
 	// networkFaults concern the connections of callers, or a backend server and the connections to it.
 	networkFaults = []Kind{DelayCallers, ResetCallers, DropCallerData, CrashServer, CutServerAnswers, ResetServer, DropServerData}
-	plannedKinds  = []Kind{Stop, Reload, ZoneOut, RevokeKey, RaceOperators, DrainServer}
+	// statementKinds are what a backend server says of itself.
+	statementKinds = []Kind{SayLeaving, AskToSpare}
+	plannedKinds   = []Kind{Stop, Reload, ZoneOut, RevokeKey, RaceOperators, DrainServer}
 )
 
 // Planned reports whether the kind is a planned operation, which must not make a caller lose an answer.
@@ -76,8 +80,10 @@
 	// instance that was cut off serves callers for up to 6 s more.
 	settleTime = 8 * time.Second
 	// minStepTime and maxStepTime bound the duration of a step.
-	minStepTime = 500 * time.Millisecond
-	maxStepTime = 5 * time.Second
+	// statementInterval is the mean time between two statements of backend servers.
+	statementInterval = 4 * time.Second
+	minStepTime       = 500 * time.Millisecond
+	maxStepTime       = 5 * time.Second
 	// stepsPerPhase is how many steps are drawn for a phase. Steps may overlap; conflicting ones are left out.
 	stepsPerPhase = 6
 )
@@ -90,10 +96,35 @@
 	for from, planned := time.Duration(0), rng.IntN(2) == 0; from < length; from, planned = from+phaseLength, !planned {
 		plan = addPhase(plan, rng, from, min(phaseLength, length-from), planned, size)
 	}
+	plan = addStatements(plan, rand.New(rand.NewPCG(seed, statementStream)), length, size)
 	slices.SortStableFunc(plan, func(a, b Step) int { return int(a.At - b.At) })
 	return plan
 }
 
+// statementStream is the second seed of the random numbers for addStatements. They are apart from the others, so that seeds give
+// the same other steps as before these kinds existed.
+const statementStream = 1
+
+// addStatements adds steps in which backend servers say something of themselves, also beside the steps of all other kinds. Only
+// the first half of the backend servers takes part, so that requests always find one.
+func addStatements(plan []Step, rng *rand.Rand, length time.Duration, size Size) []Step {
+	for from := time.Duration(0); from < length; from += statementInterval {
+		s := Step{
+			Kind: statementKinds[rng.IntN(len(statementKinds))], Target: rng.IntN(max(size.Servers/2, 1)),
+			At:       from + time.Duration(rng.Int64N(int64(statementInterval))),
+			Duration: minStepTime + time.Duration(rng.Int64N(int64(maxStepTime-minStepTime))),
+		}
+		overlaps := slices.ContainsFunc(plan, func(o Step) bool {
+			restarts := slices.Contains(statementKinds, o.Kind) || o.Kind == CrashServer
+			return restarts && o.Target == s.Target && s.At < o.At+o.Duration && o.At < s.At+s.Duration
+		})
+		if !overlaps && s.At < length {
+			plan = append(plan, s)
+		}
+	}
+	return plan
+}
+
 // addPhase adds the steps of one phase to a plan.
 func addPhase(plan []Step, rng *rand.Rand, from, length time.Duration, planned bool, size Size) []Step {
 	window := max(length-settleTime, length/2)
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -111,7 +111,7 @@
 	s.readBills()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.history.Outcomes, s.history.Arrivals = s.traffic.outcomes, s.arrivals.byID
+	s.history.Outcomes, s.history.Arrivals, s.history.Refusals = s.traffic.outcomes, s.arrivals.byID, s.arrivals.refusals
 	return &s.history, nil
 }
 
@@ -161,7 +161,7 @@
 	for i := range s.Size.Servers {
 		zone, backend := zoneNames[i%len(zoneNames)], &server{}
 		e, err := engine.Start(engine.Config{
-			ID: "soak-" + strconv.Itoa(i), AvailabilityZone: zone, Service: serviceName, Handler: s.arrivals.handler(zone), Capacity: 64, ColdCapacity: 64,
+			ID: "soak-" + strconv.Itoa(i), AvailabilityZone: zone, Service: serviceName, Handler: s.arrivals.handler(zone, i), Capacity: 64, ColdCapacity: 64,
 			AnnounceTo: s.site.AnnouncementAddresses(),
 			AnnouncedAddress: func(address string) (string, error) {
 				forwarder, err := link.Start(address)
@@ -226,8 +226,17 @@
 		end := s.beginSpan(&s.history.Faults, Span{Begin: time.Now()})
 		defer end()
 	}
+	if disablesInstance(step.Kind) {
+		for target := range s.site.Instances {
+			if target == step.Target || step.Kind == KillAll {
+				defer s.beginSpan(&s.history.Interrupted, Span{Begin: time.Now(), Instance: target})()
+			}
+		}
+	}
 	i := s.site.Instances[step.Target%len(s.site.Instances)]
 	backend := s.servers[step.Target%s.Size.Servers]
+	// The backend servers are in reverse order of their numbers.
+	number := s.Size.Servers - 1 - step.Target%s.Size.Servers
 	switch step.Kind {
 	case Kill:
 		s.killAndRestart(step.Target, step.Duration, nil)
@@ -278,6 +287,15 @@
 		backend.link.Reset()
 	case DropServerData:
 		backend.link.DropData()
+	case SayLeaving:
+		stop := s.arrivals.sayLeaving(number)
+		time.Sleep(step.Duration)
+		backend.Kill()
+		stop()
+		s.recordStepError(backend.Restart())
+	case AskToSpare:
+		s.arrivals.askToSpare(number, step.Duration)
+		time.Sleep(step.Duration)
 	case DrainServer:
 		backend.SetLeaving(true)
 		time.Sleep(step.Duration)
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -63,7 +63,7 @@
 				seen[s.Kind] = true
 			}
 		}
-		Expect(seen).To(HaveLen(20))
+		Expect(seen).To(HaveLen(22))
 	})
 })
 
@@ -122,6 +122,27 @@
 		h.Stops = []Span{{Begin: at(10.5), End: at(11)}}
 		h.Faults = []Span{{Begin: at(4), End: at(5)}}
 	}),
+	Entry("a request that came after a leaving flag was passed on", func(h *History, o *Outcome) {
+		h.Arrivals["r1"][0].Leaving = 1
+		h.Outcomes = append(h.Outcomes, Outcome{ID: "r0", Kind: Idempotent, Began: at(6), End: at(7), Status: 200, BodyRead: true, Body: "r0"})
+		h.Arrivals["r0"] = []Arrival{{Request: "r0", At: at(6.5), Leaving: 1}}
+	}, LeavingObeyed),
+	Entry("a request that came after a leaving flag, at an instance that was killed in between, is accepted", func(h *History, o *Outcome) {
+		h.Arrivals["r1"][0].Leaving = 1
+		h.Outcomes = append(h.Outcomes, Outcome{ID: "r0", Kind: Idempotent, Began: at(6), End: at(7), Status: 200, BodyRead: true, Body: "r0"})
+		h.Arrivals["r0"] = []Arrival{{Request: "r0", At: at(6.5), Leaving: 1}}
+		h.Interrupted = []Span{{Begin: at(7.5), End: at(8)}}
+	}),
+	Entry("three requests to a backend server that is to be spared", func(h *History, _ *Outcome) {
+		for _, second := range []float64{5, 5.4, 5.6, 5.7, 5.8} {
+			h.Refusals = append(h.Refusals, Refusal{Request: "r1", At: at(second), Until: at(8)})
+		}
+	}, SpareObeyed),
+	Entry("two requests to a backend server that is to be spared are accepted", func(h *History, _ *Outcome) {
+		for _, second := range []float64{5, 5.4, 5.6, 5.7, 8.5} {
+			h.Refusals = append(h.Refusals, Refusal{Request: "r1", At: at(second), Until: at(8)})
+		}
+	}),
 	Entry("a completion that was not billed", func(h *History, o *Outcome) {
 		o.Kind, o.Body, h.BillsKnown = Chat, chatText, true
 	}, BilledOnce),
