rollout: count the exposure by requests, and with the whole time limit

Cause: the exposure was added up by time, so that a share of 15% during a burst counted as if the load had been the same, and the time limit of 22.8 s had lost its fraction, so that all requests went to the version for 0.8 s more.

The larger of both measures counts now, all requests go to a version only as far as the rest of the time limit fits, and an operator's order may have milliseconds. The new case of TestScheduleBoundsExposure fails with the schedule before (761 exposed, 747 allowed).

--- a/api/control/messages.go
+++ b/api/control/messages.go
@@ -91,8 +91,9 @@
 	// Order is the number of this roll-out among those of the service, starting at 1.
 	Order uint64 `json:"order"`
 	To    string `json:"to"`
-	// Seconds is the time limit, counted from the start. Time without a control leader counts too.
+	// Seconds and Millis are the time limit, counted from the start. Time without a control leader counts too.
 	Seconds int          `json:"seconds"`
+	Millis  int          `json:"millis,omitempty"`
 	State   RolloutState `json:"state"`
 	// Percent is the share of new sessions and requests for To, 0 to 100.
 	Percent int `json:"percent"`
@@ -108,6 +109,11 @@
 	Done       []string `json:"done,omitempty"`
 }
 
+// TimeLimit returns the time limit of the roll-out.
+func (r *ServiceRollout) TimeLimit() time.Duration {
+	return time.Duration(r.Seconds)*time.Second + time.Duration(r.Millis)*time.Millisecond
+}
+
 const (
 	// InitialRolloutPercent is the share of new sessions and requests, in percent, that a roll-out of a service gives to the
 	// new version at first. A few dozen requests are enough to detect a failing version.
--- a/api/control/operator.go
+++ b/api/control/operator.go
@@ -53,11 +53,13 @@
 	Document []byte `json:"document,omitempty"`
 }
 
-// ServiceRolloutRequest starts a roll-out of a service to the software version To within Seconds.
+// ServiceRolloutRequest starts a roll-out of a service to the software version To within Seconds and Millis.
 type ServiceRolloutRequest struct {
 	ChangeBase
 	To      string `json:"to"`
 	Seconds int    `json:"seconds"`
+	// Millis is a fraction of a second beyond Seconds, 0 to 999.
+	Millis int `json:"millis,omitempty"`
 }
 
 // OrderRequest takes an availability zone or a backend server out of service (Out) or returns it to service.
--- a/server/controlstate/command.go
+++ b/server/controlstate/command.go
@@ -78,6 +78,7 @@
 	Service string
 	To      string
 	Seconds int
+	Millis  int
 }
 
 // AdvanceServiceRollout records the progress of a service roll-out. It changes nothing if Progress.Order is not the
--- a/server/controlstate/servicerollout.go
+++ b/server/controlstate/servicerollout.go
@@ -17,10 +17,10 @@
 func (s *State) planServiceRollout(c *StartServiceRollout) changePlan {
 	p := changePlan{
 		base: c.ChangeBase, kind: ChangeServiceRollout, subject: c.Service,
-		contentHash: hashContent("service rollout", c.Service, c.To, c.Seconds),
+		contentHash: hashContent("service rollout", c.Service, c.To, c.Seconds, c.Millis),
 		diff:        []string{fmt.Sprintf("service %s: roll-out to %s within %d s", c.Service, c.To, c.Seconds)},
 	}
-	if c.Service == "" || c.To == "" || c.Seconds <= 0 {
+	if c.Service == "" || c.To == "" || c.Seconds <= 0 || c.Millis < 0 || c.Millis > 999 {
 		p.err = ErrRefused.New("a roll-out names a service, a version and a positive number of seconds")
 		return p
 	}
@@ -28,7 +28,7 @@
 	p.unchanged = ok && current.To == c.To
 	p.apply = func() {
 		s.putServiceRollout(control.ServiceRollout{
-			Service: c.Service, Order: current.Order + 1, To: c.To, Seconds: c.Seconds, State: control.RolloutRunning,
+			Service: c.Service, Order: current.Order + 1, To: c.To, Seconds: c.Seconds, Millis: c.Millis, State: control.RolloutRunning,
 			RolledBack: withoutVersion(current.RolledBack, c.To), Done: current.Done,
 		})
 	}
--- a/server/controlsvc/operator.go
+++ b/server/controlsvc/operator.go
@@ -314,7 +314,7 @@
 		return
 	}
 	start := &controlstate.StartServiceRollout{
-		ChangeBase: in.ChangeBase, Service: chi.URLParam(r, "service"), To: in.To, Seconds: in.Seconds,
+		ChangeBase: in.ChangeBase, Service: chi.URLParam(r, "service"), To: in.To, Seconds: in.Seconds, Millis: in.Millis,
 	}
 	s.applyChange(w, r, in.ChangeBase, &controlstate.Command{StartServiceRollout: start}, nil)
 }
--- a/server/rollout/service_comparison.go
+++ b/server/rollout/service_comparison.go
@@ -205,8 +205,8 @@
 	counted           map[sampleKey]control.RolloutSample
 	failures, overdue sequentialTest
 	first, interval   map[stratum]*versionTimes
-	// served and failed count the attempts on the new version.
-	served, failed int
+	// served and failed count the attempts on the new version, oldServed those on the old one.
+	served, failed, oldServed int
 }
 
 func newServiceEvidence() *serviceEvidence {
@@ -249,6 +249,7 @@
 func (e *serviceEvidence) add(key sampleKey, s control.RolloutSample) {
 	first, interval := timesOf(e.first, key.stratum), timesOf(e.interval, key.stratum)
 	if !key.isNew {
+		e.oldServed += s.Requests
 		e.failures.addOld(key.route, s.Requests, s.Failures)
 		e.overdue.addOld(key.route, s.Prompt+s.Overdue, s.Overdue)
 		first.old.add(s.First, oldTimesWindow)
@@ -292,8 +293,9 @@
 
 // assessment is what a roll-out knows about its new version.
 type assessment struct {
-	// served is the number of attempts on the new version.
-	served int
+	// served is the number of attempts on the new version, newShare their share in all attempts, 0 to 1.
+	served   int
+	newShare float64
 	// fault says how the new version is worse; empty if it is not known to be.
 	fault string
 	// accepted is set if the attempts show that the new version is as good as the old one. Otherwise missing says what they
@@ -304,7 +306,7 @@
 
 // assess compares the versions over all routes and on each route, because a version may be bad on one route only.
 func (e *serviceEvidence) assess() assessment {
-	a := assessment{served: e.served}
+	a := assessment{served: e.served, newShare: float64(e.served) / float64(max(e.served+e.oldServed, 1))}
 	if route, worse := e.failures.badRoute(); worse {
 		a.fault = onRoute("fails more often than the old version", route)
 		return a
--- a/server/rollout/service_schedule.go
+++ b/server/rollout/service_schedule.go
@@ -13,11 +13,12 @@
 	startFromPercent = 8
 	// settledFromPercent is the percentage of the time limit after which sessions may move to the new version.
 	settledFromPercent = 50
-	// doneFromPercent is the percentage of the time limit after which the roll-out of an accepted version is done. In the
-	// shortest roll-outs 0.6 s remain for the commit and the operator's query. Before that, all requests go to the new version
-	// for as long as the exposure allows, but from latestAllPercent on at the latest.
-	doneFromPercent  = 96
-	latestAllPercent = 94
+	// doneFromPercent is the percentage of the time limit after which the roll-out of an accepted version is done, if the rest
+	// fits into the allowed exposure, and latestDonePercent that after which it is done anyway. In the shortest roll-outs, of
+	// 16 s, 0.6 s and 0.3 s remain for the commit and the operator's query. Before that, all requests go to the new version
+	// for as long as the exposure allows.
+	doneFromPercent   = 96
+	latestDonePercent = 98
 	// exposureMargin is the planned fraction of the allowed exposure. It is below 1 because the load may vary during a
 	// roll-out.
 	exposureMargin = 0.95
@@ -28,28 +29,32 @@
 // the largest share, 0 to 1, of the requests within the time limit that may go to a version that turns out to be bad.
 func nextProgress(r control.ServiceRollout, exposure float64, elapsed time.Duration, a assessment) control.ServiceRollout {
 	next := r
-	limit := time.Duration(r.Seconds) * time.Second
+	limit := r.TimeLimit()
 	next.ElapsedMillis = elapsed.Milliseconds()
 	next.ExposedMillis = r.ExposedMillis + (next.ElapsedMillis-r.ElapsedMillis)*int64(r.Percent)/100
 	elapsedPercent := int(100 * elapsed / max(limit, time.Millisecond))
+	// What was exposed so far, and what is exposed if all requests go to the new version from now on. The load may have been
+	// higher while it had the larger share, so the requests count too, not only the time. A version that fails only under
+	// load, or only after some time, may show no fault before it serves all requests.
+	exposed := max(time.Duration(next.ExposedMillis)*time.Millisecond, time.Duration(a.newShare*float64(elapsed))) + limit - elapsed
+	allowed := exposure * float64(limit)
+	mayServeAll := elapsedPercent >= settledFromPercent && float64(exposed) <= exposureMargin*allowed
+	mayBeDone := elapsedPercent >= latestDonePercent || elapsedPercent >= doneFromPercent && float64(exposed) <= allowed
 	switch {
 	case a.fault != "":
 		next.State, next.Reason = control.RolloutRolledBack, a.fault
-	case elapsedPercent >= doneFromPercent && a.accepted:
+	case mayBeDone && a.accepted:
 		next.State, next.Reason = control.RolloutDone, "no fault was found"
 	case elapsedPercent >= 100:
 		next.State, next.Reason = control.RolloutRolledBack, "too few requests to show "+a.missing
 	}
-	// A version that fails only under load, or only after some time, may show no fault before it serves all requests.
-	exposed := time.Duration(next.ExposedMillis)*time.Millisecond + limit - elapsed
-	allowed := time.Duration(exposure * exposureMargin * float64(limit))
-	mayServeAll := elapsedPercent >= latestAllPercent || elapsedPercent >= settledFromPercent && exposed <= allowed
 	switch {
 	case mayServeAll && a.accepted:
 		next.Percent = 100
 	case elapsedPercent >= settledFromPercent && !a.accepted:
 		next.Percent = max(r.Percent, control.ExtendedRolloutPercent)
 	case elapsedPercent >= startFromPercent:
+		// A share that shrinks would move sessions back.
 		next.Percent = max(r.Percent, control.InitialRolloutPercent)
 	}
 	next.Settled = r.Settled || elapsedPercent >= settledFromPercent
--- a/server/rollout/service_test.go
+++ b/server/rollout/service_test.go
@@ -252,13 +252,20 @@
 // plus 30. A version that turns bad is stopped at all instances 2 s after its failures are noticed. A version that
 // shows no fault at all, such as one that is bad only under a higher load, must stay below the bound too.
 func TestScheduleBoundsExposure(t *testing.T) {
-	const perSecond, reaction, never = 33.0, 2 * time.Second, time.Hour
+	const reaction, never = 2 * time.Second, time.Hour
 	for _, c := range []struct {
 		limit    time.Duration
 		exposure float64
-	}{{16 * time.Second, 0.15}, {24 * time.Second, 0.15}, {time.Minute, 0.15}, {24 * time.Second, 0.12}, {time.Minute, 0.3}} {
-		limit := c.limit
-		r := control.ServiceRollout{Seconds: int(limit / time.Second), State: control.RolloutRunning}
+		burst    bool
+	}{
+		{16 * time.Second, 0.15, false}, {24 * time.Second, 0.15, false}, {time.Minute, 0.15, false}, {24 * time.Second, 0.12, false},
+		{time.Minute, 0.3, false}, {16900 * time.Millisecond, 0.15, false}, {22800 * time.Millisecond, 0.15, true}, {time.Minute, 0.15, true},
+	} {
+		limit, perSecond := c.limit, 33.0
+		if c.burst {
+			perSecond = 150 // with a few requests, the 30 that are allowed besides would hide the difference
+		}
+		r := control.ServiceRollout{Seconds: int(limit / time.Second), Millis: int(limit % time.Second / time.Millisecond), State: control.RolloutRunning}
 		badFroms := []time.Duration{never}
 		for at := time.Duration(0); at < limit; at += time.Second / 2 {
 			badFroms = append(badFroms, at)
@@ -267,16 +274,21 @@
 			// A version that is accepted late has the larger share before that.
 			for _, acceptedFrom := range []time.Duration{limit / 3, 3 * limit / 4, 19 * limit / 20} {
 				r := r
-				exposed, failures, stoppedAt := 0.0, 0.0, never
+				exposed, all, failures, stoppedAt := 0.0, 0.0, 0.0, never
 				const step = 50 * time.Millisecond
 				for at := time.Duration(0); at < limit; at += step {
-					progress := nextProgress(r, c.exposure, at, assessment{served: 50, accepted: at >= acceptedFrom, missing: "anything"})
+					rate := perSecond
+					if c.burst && at > limit/3 && at < 2*limit/3+limit/6 {
+						rate *= 1.8
+					}
+					progress := nextProgress(r, c.exposure, at, assessment{served: 50, newShare: exposed / max(all, 1), accepted: at >= acceptedFrom, missing: "anything"})
 					r.Percent, r.Settled, r.ElapsedMillis, r.ExposedMillis = progress.Percent, progress.Settled, progress.ElapsedMillis, progress.ExposedMillis
 					percent := progress.Percent
 					if progress.State == control.RolloutDone {
 						percent = 100
 					}
-					sent := perSecond * step.Seconds() * float64(percent) / 100
+					all += rate * step.Seconds()
+					sent := rate * step.Seconds() * float64(percent) / 100
 					if at < stoppedAt {
 						exposed += sent
 					}
@@ -287,7 +299,7 @@
 						stoppedAt = at + reaction
 					}
 				}
-				if bound := c.exposure*perSecond*limit.Seconds() + 30; exposed > bound {
+				if bound := c.exposure*all + 30; exposed > bound {
 					t.Errorf("limit %s, share %.2f, bad from %s on, accepted from %s on: %.0f requests were exposed, at most %.0f are allowed",
 						limit, c.exposure, badFrom, acceptedFrom, exposed, bound)
 				}
