--- a/server/entry/rolloutsamples.go
+++ b/server/entry/rolloutsamples.go
@@ -157,12 +157,11 @@
 // sampleInterval adds the mean interval between the events of a stream. It is called after each event and at the end of the
 // stream, and adds one interval for each stream.
 func (x *exchange) sampleInterval(events int, sinceFirst time.Duration, ended bool) {
-	if x.cold || events != intervalEvents && (!ended || events < minIntervalEvents || events > intervalEvents) {
+	reached := events == intervalEvents && !ended
+	short := ended && events >= minIntervalEvents && events < intervalEvents
+	if x.cold || !reached && !short {
 		return
 	}
-	if ended && events == intervalEvents {
-		return // was added after its last event
-	}
 	x.sample(func(s *control.RolloutSample) { addLogTime(&s.Interval, sinceFirst/time.Duration(events-1)) })
 }
 
