rollout: model versions that are slow between tokens, or hang until callers leave

Callers of a model could wait for streams of a new version that begin in time and are slow afterwards, or leave before the first token, and the roll-out went on. Cause: as in the roll-outs of services (docs/incidents/slow-version.md), only first tokens that arrived were counted. Found by looking for that cause elsewhere; nobody has reported it.

Entry instances now count streams by their time between events, after eight of them, and streams that were given up without a token later than a slow first token; the controller compares both. Without the two counts the new cases 'is slow between tokens' and 'hangs until its callers leave' of the controller fail (run with the counts taken out); with them both are rolled back within 5 min and 250 requests, the bounds of the case with slow first tokens.

--- a/api/control/messages.go
+++ b/api/control/messages.go
@@ -322,6 +322,10 @@
 // SlowFirstToken is the time to the first token above which an attempt counts as slow.
 const SlowFirstToken = time.Second
 
+// SlowTokenInterval is the mean time between the events of a stream above which the stream counts as slow: twice the time between
+// tokens within which 95 of 100 stay by design.
+const SlowTokenInterval = 140 * time.Millisecond
+
 // Outcome counts the attempts that finished since the last heartbeat, for one version on one backend server. The version is
 // empty for calls of services.
 type Outcome struct {
@@ -341,6 +345,11 @@
 	Crashed int
 	// Slow counts attempts whose first token took longer than SlowFirstToken.
 	Slow int
+	// Overdue counts attempts of streams that were given up by the caller, without a token, later than SlowFirstToken after
+	// dispatch. They are not in Requests.
+	Overdue int
+	// Paced counts the streams whose time between events was measured, SlowPaced those of them over SlowTokenInterval.
+	Paced, SlowPaced int
 	// FirstTokenMillis is the sum of the times to the first token of the attempts without failure, in milliseconds.
 	FirstTokenMillis int64
 	// Service and SoftwareVersion are those of the backend server, set only for requests of a catalogue.Route.
--- a/server/entry/dispatch.go
+++ b/server/entry/dispatch.go
@@ -59,9 +59,10 @@
 	refused *answer
 	// serverCrashed is set when the backend server crashed while it ran the request.
 	serverCrashed bool
-	// answerBegan is set when the header of the answer had come, but no event yet; sentEvents when events had come. Both are
-	// set for routed requests only.
+	// answerBegan is set when the header of the answer had come, but no event yet; sentEvents when events had come.
 	answerBegan, sentEvents bool
+	// overdue is set when a stream of a chat request ended without an event, later than control.SlowFirstToken after dispatch.
+	overdue bool
 }
 
 // Error returns the kind and the cause.
@@ -100,7 +101,7 @@
 	answered bool
 	// answerMetadata holds the metadata of the answer to a routed request.
 	answerMetadata AnswerMetadata
-	// events is the number of complete events of a routed stream that this attempt has sent.
+	// events is the number of complete events of a stream that this attempt has sent.
 	events int
 	// buffered is the memory that the attempt's answer takes.
 	buffered bufferShare
@@ -270,6 +271,7 @@
 func (x *exchange) fail(f *attemptError) *attemptError {
 	f.wrote = x.response != nil || x.trace.seal()
 	f.answerBegan, f.sentEvents = x.answered && x.events == 0, x.events > 0
+	f.overdue = x.rq.chat != nil && x.rq.chat.Stream && x.events == 0 && time.Since(x.began) > control.SlowFirstToken
 	x.rq.written = x.rq.written || f.wrote
 	x.h.metrics.attempts.WithLabelValues(string(f.kind)).Inc()
 	x.logFailure(f)
--- a/server/entry/faults_test.go
+++ b/server/entry/faults_test.go
@@ -209,6 +209,67 @@
 		Expect(outcomes[0].Slow).To(Equal(1))
 		Expect(outcomes[0].FirstTokenMillis).To(BeNumerically(">", 1000))
 	})
+
+	It("count streams that are slow between tokens, before they end (guards against a slow version that begins in time)", func() {
+		end := make(chan struct{})
+		paced := func(pause time.Duration, events int) http.HandlerFunc {
+			return func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+				w.Header().Set("Content-Type", "text/event-stream")
+				for range events {
+					_, _ = fmt.Fprint(w, "data: {\"choices\":[{\"delta\":{\"content\":\"x\"}}]}\n\n")
+					w.(http.Flusher).Flush()
+					time.Sleep(pause)
+				}
+				if events > 4 {
+					<-end
+				}
+				stream(nil)(w, r)
+			}
+		}
+		s := newHarness(nil)
+		var paces, slow int
+		count := func() int {
+			for _, o := range s.handler.TakeOutcomes() {
+				paces, slow = paces+o.Paced, slow+o.SlowPaced
+			}
+			return paces
+		}
+		s.setServers(v1, serverRow(newBackend("b1", paced(control.SlowTokenInterval+60*time.Millisecond, 8))))
+		done := make(chan struct{})
+		go func() {
+			defer GinkgoRecover()
+			defer close(done)
+			s.chat(chatStream)
+		}()
+		Eventually(count, 5*time.Second).Should(Equal(1))
+		Expect(slow).To(Equal(1))
+		close(end)
+		<-done
+		s.setServers(v1, serverRow(newBackend("b2", paced(5*time.Millisecond, 4))))
+		s.chat(chatStream)
+		Expect(count()).To(Equal(2))
+		Expect(slow).To(Equal(1))
+	})
+
+	It("count streams that callers give up without a token (guards against a hanging version that leaves no trace)", func() {
+		s := newHarness(nil)
+		s.setServers(v1, serverRow(newBackend("b1", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })))
+		overdueAfter := func(wait time.Duration) (n int) {
+			ctx, leave := context.WithTimeout(context.Background(), wait)
+			defer leave()
+			_, err := http.DefaultClient.Do(s.request(http.MethodPost, "/v1/chat/completions", chatStream).WithContext(ctx))
+			Expect(err).To(HaveOccurred())
+			time.Sleep(500 * time.Millisecond)
+			for _, o := range s.handler.TakeOutcomes() {
+				Expect(o.Requests).To(BeZero())
+				n += o.Overdue
+			}
+			return n
+		}
+		Expect(overdueAfter(control.SlowFirstToken + 100*time.Millisecond)).To(Equal(1))
+		Expect(overdueAfter(100 * time.Millisecond)).To(BeZero())
+	})
 })
 
 var _ = Describe("crashing requests", func() {
--- a/server/entry/outcomes.go
+++ b/server/entry/outcomes.go
@@ -95,9 +95,22 @@
 	}
 }
 
+// countPace counts a stream by its mean time between events.
+func (h *Handler) countPace(rq *request, server *control.BackendServer, interval time.Duration) {
+	h.outcomes.update(outcomeKeyFor(rq, server), func(c *control.Outcome) {
+		c.Paced++
+		if interval > control.SlowTokenInterval {
+			c.SlowPaced++
+		}
+	})
+}
+
 // countFailure counts a failed attempt, unless the failure is no evidence against the backend server: the caller
-// cancelled it, the backend server was at capacity, or the request had crashed another backend server before.
+// cancelled it in time, the backend server was at capacity, or the request had crashed another backend server before.
 func (h *Handler) countFailure(rq *request, server *control.BackendServer, f *attemptError) {
+	if f.kind == failCancelled && f.overdue {
+		h.outcomes.update(outcomeKeyFor(rq, server), func(c *control.Outcome) { c.Overdue++ })
+	}
 	if f.kind == failCancelled || f.kind == failBusy || f.serverCrashed && rq.crashes > 0 {
 		return
 	}
--- a/server/entry/rolloutsamples.go
+++ b/server/entry/rolloutsamples.go
@@ -157,14 +157,18 @@
 // sampleInterval adds the mean interval between the events of a stream. It is called after each event and at the end of the
 // stream, and adds one interval for each stream.
 func (x *exchange) sampleInterval(events int, sinceFirst time.Duration, ended bool) {
-	reached := events == intervalEvents && !ended
-	short := ended && events >= minIntervalEvents && events < intervalEvents
-	if x.cold || !reached && !short {
+	if x.cold || !measuresInterval(events, ended) {
 		return
 	}
 	x.sample(func(s *control.RolloutSample) { addLogTime(&s.Interval, sinceFirst/time.Duration(events-1)) })
 }
 
+// measuresInterval reports whether the mean interval of a stream is to be recorded now: after intervalEvents events, or at the
+// end of a shorter stream.
+func measuresInterval(events int, ended bool) bool {
+	return events == intervalEvents && !ended || ended && events >= minIntervalEvents && events < intervalEvents
+}
+
 func addLogTime(t *control.LogTimes, d time.Duration) {
 	log := math.Log(max(float64(d.Microseconds())/1000, minSampledMillis))
 	t.Count++
--- a/server/entry/stream.go
+++ b/server/entry/stream.go
@@ -174,8 +174,8 @@
 	attemptUsage usage
 	// usageReported is set once the backend server sent its token usage.
 	usageReported bool
-	// firstEventSeen is set at the first event.
-	firstEventSeen bool
+	// firstEventAt is the time of the first event.
+	firstEventAt time.Time
 }
 
 // run relays events until the end of the stream.
@@ -190,6 +190,7 @@
 		}
 		r.x.running.touch()
 		if string(data) == doneData {
+			r.countPace(true)
 			return nil
 		}
 		if f := r.relayEvent(data); f != nil {
@@ -207,7 +208,7 @@
 	if len(c.Error) > 0 {
 		return r.x.fail(&attemptError{kind: failStatus, err: Error.New("the stream carries an error")})
 	}
-	r.countFirstEvent()
+	r.countEvent()
 	text, finished, continuable := c.text()
 	switch {
 	case c.Usage != nil:
@@ -228,19 +229,28 @@
 	return nil
 }
 
-// countFirstEvent counts the answer and its time to the first token at the first event of the attempt.
-func (r *streamRelay) countFirstEvent() {
-	if r.firstEventSeen {
+// countEvent counts an event of the attempt, and at the first one the answer and its time to the first token.
+func (r *streamRelay) countEvent() {
+	r.x.events++
+	if r.x.events > 1 {
+		r.countPace(false)
 		return
 	}
-	r.firstEventSeen = true
+	r.firstEventAt = time.Now()
 	h := r.x.h
-	h.countAnswer(r.x.rq, r.x.server, time.Since(r.x.began))
+	h.countAnswer(r.x.rq, r.x.server, r.firstEventAt.Sub(r.x.began))
 	if !r.continued {
 		h.metrics.firstTokenSeconds.Observe(time.Since(r.x.rq.start).Seconds())
 	}
 }
 
+// countPace counts the stream by its mean time between events, when measuresInterval says so.
+func (r *streamRelay) countPace(ended bool) {
+	if measuresInterval(r.x.events, ended) {
+		r.x.h.countPace(r.x.rq, r.x.server, time.Since(r.firstEventAt)/time.Duration(r.x.events-1))
+	}
+}
+
 // withTotal returns the event's data with the output tokens of earlier attempts added to its usage.
 func (r *streamRelay) withTotal(data []byte) []byte {
 	if r.state.earlierTokens == 0 {
--- a/server/rollout/comparison.go
+++ b/server/rollout/comparison.go
@@ -245,7 +245,7 @@
 
 // versionStats holds the rates of one version, whether or not it is part of a roll-out.
 type versionStats struct {
-	errors, slow, ratings failureRates
+	errors, slow, pace, ratings failureRates
 	// longTermScores holds the ratings over the long term. recentScores holds the ratings since those of the new version
 	// began to fall; referenceScores is a copy of longTermScores from that moment.
 	longTermScores, recentScores rate
--- a/server/rollout/plan.go
+++ b/server/rollout/plan.go
@@ -93,6 +93,7 @@
 			from: from, to: to, step: p.Step, since: p.Since, seenAt: now,
 			errors:  comparison{overallPlan: errorTestPlan, workspacePlan: workspaceErrorPlan},
 			slow:    comparison{overallPlan: slowPlan, workspacePlan: workspaceSlowPlan},
+			pace:    comparison{overallPlan: slowPlan, workspacePlan: workspaceSlowPlan},
 			ratings: comparison{overallPlan: errorTestPlan, workspacePlan: workspaceErrorPlan},
 		}
 		c.trials[p.Model] = t
@@ -102,6 +103,7 @@
 		t.requestCount, t.ratingCount, t.maxRatedShare = 0, 0, 0
 		t.errors.beginStep()
 		t.slow.beginStep()
+		t.pace.beginStep()
 		t.ratings.beginStep()
 	}
 	return t
@@ -122,6 +124,8 @@
 		return t.progressOnAlarm(now, r, p, &t.errors, "more errors than the old version"), true
 	case t.slow.alarmRaised:
 		return t.progressOnAlarm(now, r, p, &t.slow, "more slow first tokens than the old version"), true
+	case t.pace.alarmRaised:
+		return t.progressOnAlarm(now, r, p, &t.pace, "more slow streams than the old version"), true
 	case t.ratings.alarmRaised && old.ratingsAreSteady():
 		next.State, next.Percent, next.Reason = control.RolloutRolledBack, 0, "lower ratings than the old version"+t.ratings.worstWorkspaceSuffix()
 	default:
@@ -173,7 +177,7 @@
 		return "ratings are late or missing", false
 	case t.ratings.newSeemsWorse():
 		return "ratings are lower than before", false
-	case !t.errors.accepted || t.errors.newSeemsWorse() || t.slow.newSeemsWorse():
+	case !t.errors.accepted || t.errors.newSeemsWorse() || t.slow.newSeemsWorse() || t.pace.newSeemsWorse():
 		return reasonUnchanged, false
 	case t.hasSuspiciousWorkspace() && t.stepAge(now) < maxWorkspaceHoldStepTimes*time.Duration(r.StepSeconds)*time.Second:
 		return reasonUnchanged, false
@@ -182,7 +186,7 @@
 }
 
 func (t *trial) hasSuspiciousWorkspace() bool {
-	return t.errors.hasSuspiciousWorkspace() || t.slow.hasSuspiciousWorkspace() || t.ratings.hasSuspiciousWorkspace()
+	return t.errors.hasSuspiciousWorkspace() || t.slow.hasSuspiciousWorkspace() || t.pace.hasSuspiciousWorkspace() || t.ratings.hasSuspiciousWorkspace()
 }
 
 // reasonUnchanged is returned by waitReason for ordinary waits, which leave the recorded reason as it is.
--- a/server/rollout/rollout.go
+++ b/server/rollout/rollout.go
@@ -76,8 +76,9 @@
 
 // trial is the evidence on the roll-out of one model since this leader took over.
 type trial struct {
-	from, to              catalogue.VersionRef
-	errors, slow, ratings comparison
+	from, to catalogue.VersionRef
+	// slow compares first tokens and pace the time between the events of streams.
+	errors, slow, pace, ratings comparison
 	// step is the current step, which began at since according to its record. This leader first saw the step at seenAt.
 	// reasonChanged is when the reason was last changed without a new step.
 	step          int
@@ -223,7 +224,7 @@
 			t := c.trials[o.Model]
 			isNew := t != nil && t.to == o.VersionRef
 			// Ratings arrive after their requests, in outcomes of their own.
-			if o.Requests <= 0 && o.Ratings <= 0 || o.Model == "" || isNew != onNew {
+			if o.Requests <= 0 && o.Ratings <= 0 && o.Overdue <= 0 && o.Paced <= 0 || o.Model == "" || isNew != onNew {
 				continue
 			}
 			c.addOutcome(o, t, isNew)
@@ -249,6 +250,7 @@
 type outcomeCounts struct {
 	requests, failed    int
 	answered, slow      int
+	paced, slowPaced    int
 	ratings, lowRatings int
 }
 
@@ -261,10 +263,14 @@
 	n.requests, n.failed = c.countedRequests(o)
 	if c.servers == nil || o.BackendServer == "" || c.servers.InService(o.BackendServer) {
 		n.answered = o.Requests - o.Failures
-		n.slow = min(o.Slow, n.answered)
+		// A stream that its caller gave up without a token was slow, too.
+		n.slow = min(o.Slow, n.answered) + o.Overdue
+		n.answered += o.Overdue
+		n.paced, n.slowPaced = o.Paced, min(o.SlowPaced, o.Paced)
 	}
 	v.errors.add(o.Workspace, n.requests, n.failed)
 	v.slow.add(o.Workspace, n.answered, n.slow)
+	v.pace.add(o.Workspace, n.paced, n.slowPaced)
 	v.ratings.add(o.Workspace, n.ratings, n.lowRatings)
 	v.addRatings(o)
 	switch {
@@ -273,6 +279,7 @@
 	case t != nil && t.from == o.VersionRef:
 		t.errors.addOld(o.Workspace, n.requests, n.failed)
 		t.slow.addOld(o.Workspace, n.answered, n.slow)
+		t.pace.addOld(o.Workspace, n.paced, n.slowPaced)
 		t.ratings.addOld(o.Workspace, n.ratings, n.lowRatings)
 	}
 }
@@ -282,11 +289,12 @@
 	t.ratingCount += n.ratings
 	t.errors.addNew(workspace, n.requests, n.failed)
 	t.slow.addNew(workspace, n.answered, n.slow)
+	t.pace.addNew(workspace, n.paced, n.slowPaced)
 	t.ratings.addNew(workspace, n.ratings, n.lowRatings)
 }
 
 // evaluate ends an interval and reports whether the new version must be rolled back at once. An alarm for errors or slow
-// first tokens stays set, so that a rollback is proposed again if it could not be committed for lack of a majority.
+// answers stays set, so that a rollback is proposed again if it could not be committed for lack of a majority.
 func (t *trial) evaluate(old *versionStats) bool {
 	if old == nil {
 		old = &versionStats{}
@@ -297,9 +305,12 @@
 	if !t.slow.alarmRaised {
 		t.slow.evaluate(&old.slow)
 	}
+	if !t.pace.alarmRaised {
+		t.pace.evaluate(&old.pace)
+	}
 	t.ratings.evaluate(&old.ratings)
 	old.monitorRatings(t.ratings.newSeemsWorse() || t.ratings.hasSuspiciousWorkspace())
-	return t.errors.alarmRaised || t.slow.alarmRaised
+	return t.errors.alarmRaised || t.slow.alarmRaised || t.pace.alarmRaised
 }
 
 // countedRequests returns the numbers of requests and failures to count. When a backend server crashes, all its
--- a/server/rollout/rollout_test.go
+++ b/server/rollout/rollout_test.go
@@ -92,6 +92,8 @@
 // traffic holds the probabilities of a failure, a slow first token, a rating and a low answer quality for a request.
 type traffic struct {
 	fail, slow, rated, low float64
+	// givenUp is the probability that the caller leaves before the first token, slowPace that a stream is slow between tokens.
+	givenUp, slowPace float64
 }
 
 // site simulates the outcomes of a fleet second by second.
@@ -195,12 +197,12 @@
 			}
 			s.request(&counts[version], s.behaviour(version == 1, w))
 		}
-		s.requestsOnNew += counts[1].Requests
+		s.requestsOnNew += counts[1].Requests + counts[1].Overdue
 		s.failuresOnNew += counts[1].Failures
 		for i, name := range []string{"v1", "v2"} {
 			counts[i].VersionRef = catalogue.VersionRef{Model: "claims", Version: name}
 			counts[i].Workspace = w
-			if counts[i].Requests > 0 {
+			if counts[i].Requests+counts[i].Overdue > 0 {
 				outcomes = append(outcomes, splitRatings(counts[i])...)
 			}
 		}
@@ -215,7 +217,7 @@
 	}
 	var ratings []control.Outcome
 	for _, o := range outcomes {
-		if o.Requests > 0 {
+		if o.Requests > 0 || o.Overdue > 0 {
 			out = append(out, o)
 		} else {
 			ratings = append(ratings, o)
@@ -236,6 +238,14 @@
 }
 
 func (s *site) request(o *control.Outcome, t traffic) {
+	if t.givenUp > 0 && s.rng.Float64() < t.givenUp {
+		o.Overdue++
+		return
+	}
+	o.Paced++
+	if t.slowPace > 0 && s.rng.Float64() < t.slowPace {
+		o.SlowPaced++
+	}
 	o.Requests++
 	if s.rng.Float64() < t.fail {
 		o.Failures++
@@ -300,6 +310,8 @@
 		Entry("fails 20% more", traffic{fail: 0.21, slow: 0.04, rated: 0.5, low: 0.08}, 5*time.Minute, 250),
 		Entry("fails 5% more", traffic{fail: 0.06, slow: 0.04, rated: 0.5, low: 0.08}, 40*time.Minute, 4000),
 		Entry("is slow", traffic{fail: 0.01, slow: 0.6, rated: 0.5, low: 0.08}, 5*time.Minute, 250),
+		Entry("is slow between tokens", traffic{fail: 0.01, slow: 0.04, rated: 0.5, low: 0.08, slowPace: 0.6}, 5*time.Minute, 250),
+		Entry("hangs until its callers leave", traffic{fail: 0.01, slow: 0.04, rated: 0.5, low: 0.08, givenUp: 0.6}, 5*time.Minute, 250),
 		Entry("answers badly", traffic{fail: 0.01, slow: 0.04, rated: 0.5, low: 0.5}, 10*time.Minute, 500),
 	)
 
