entry: bound chat streams without events, and count their long lines

Callers of a chat completion waited until their time was over when a backend server sent lines without an event, such as comments, without end; long lines were bounded for each stream only. Found by looking for the cause of answers without end elsewhere.

After 1 MiB without an event the attempt fails and another backend server is tried; long lines count in the buffer that all answers share. The other two new cases held before.

--- a/server/entry/endless_test.go
+++ b/server/entry/endless_test.go
@@ -100,7 +100,7 @@
 		requests     = 40
 	)
 	idempotent := catalogue.Route{Kind: catalogue.KindIdempotent, MaxAttempts: 3, TimeLimitMillis: 8000}
-	stream := catalogue.Route{Kind: catalogue.KindStream, Resumable: true, MaxAttempts: 3, TimeLimitMillis: 8000}
+	resumable := catalogue.Route{Kind: catalogue.KindStream, Resumable: true, MaxAttempts: 3, TimeLimitMillis: 8000}
 
 	// Guards against an entry instance that runs out of memory, or keeps its callers waiting until their time is over.
 	DescribeTable("is left for another one, within bounded memory",
@@ -139,7 +139,37 @@
 		Entry("in a body without a length", idempotent, "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\n\r\n", "and more "),
 		Entry("in a body in chunks", idempotent, "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nTransfer-Encoding: chunked\r\n\r\n", "9\r\nand more \r\n"),
 		Entry("in a failure", idempotent, "HTTP/1.1 500 Oh\r\nX-Attempt-Id: ID\r\n\r\n", "and more "),
-		Entry("in the first event of a stream", stream, "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nContent-Type: text/event-stream\r\n\r\ndata: ", "and more "),
-		Entry("in the lines of one event", stream, "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nContent-Type: text/event-stream\r\n\r\n", "data: and more\n"),
+		Entry("in the first event of a stream", resumable, "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nContent-Type: text/event-stream\r\n\r\ndata: ", "and more "),
+		Entry("in the lines of one event", resumable, "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nContent-Type: text/event-stream\r\n\r\n", "data: and more\n"),
+	)
+
+	// Guards against the same by the paths of the product's own interface.
+	DescribeTable("is left for another one by chat completions, too",
+		func(body, begin, repeat string, well http.HandlerFunc) {
+			endless := newEndlessServer(begin, repeat)
+			s := newHarness(func(c *entry.Config) { c.AnswerBuffer = answerBuffer })
+			row := endless.row("endless")
+			row.Service, row.StatesCold = "", false
+			s.setServers(v1, row, serverRow(newBackend("well", well)))
+			var answered atomic.Int64
+			peak := peakHeap(func() {
+				var callers sync.WaitGroup
+				for range requests {
+					callers.Go(func() {
+						defer GinkgoRecover()
+						if s.chat(body).status == http.StatusOK {
+							answered.Add(1)
+						}
+					})
+				}
+				callers.Wait()
+			})
+			Expect(endless.written.Load()).To(BeNumerically(">", 0), "no request reached the endless backend server")
+			Expect(answered.Load()).To(BeEquivalentTo(requests))
+			Expect(peak).To(BeNumerically("<", answerBuffer+requests<<20))
+		},
+		Entry("in a whole answer", chat, "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nContent-Type: application/json\r\n\r\n", "and more ", completion("well")),
+		Entry("in one line of a stream", chatStream, "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nContent-Type: text/event-stream\r\n\r\ndata: ", "and more ", stream(nil, "well")),
+		Entry("in lines without events", chatStream, "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nContent-Type: text/event-stream\r\n\r\n", ": and more\n", stream(nil, "well")),
 	)
 })
--- a/server/entry/sse.go
+++ b/server/entry/sse.go
@@ -15,13 +15,16 @@
 // readerPool pools the buffers of event streams.
 var readerPool = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, 4<<10) }}
 
-// eventReader reads the data fields of server-sent events.
-type eventReader struct{ in *bufio.Reader }
+// eventReader reads the data fields of server-sent events. buffered accounts for long lines.
+type eventReader struct {
+	in       *bufio.Reader
+	buffered *bufferShare
+}
 
-func newEventReader(r io.Reader) eventReader {
+func newEventReader(r io.Reader, buffered *bufferShare) eventReader {
 	in := readerPool.Get().(*bufio.Reader)
 	in.Reset(r)
-	return eventReader{in: in}
+	return eventReader{in: in, buffered: buffered}
 }
 
 func (e eventReader) release() {
@@ -29,13 +32,17 @@
 	readerPool.Put(e.in)
 }
 
-// next returns the data of the next event and skips other fields and comments. The slice is valid until the next call.
+// next returns the data of the next event and skips other fields and comments, up to maxEventLineBytes of them. The slice is
+// valid until the next call.
 func (e eventReader) next() ([]byte, error) {
-	for {
+	for skipped := 0; ; {
 		line, err := e.readLine()
 		if err != nil {
 			return nil, err
 		}
+		if skipped += len(line); skipped > maxEventLineBytes {
+			return nil, Error.New("no event in %d bytes of the event stream", skipped)
+		}
 		if data, ok := bytes.CutPrefix(line, []byte("data:")); ok {
 			return bytes.TrimSpace(data), nil
 		}
@@ -54,6 +61,9 @@
 			return nil, Error.New("a line of the event stream is over %d bytes", maxEventLineBytes)
 		}
 		line, err = e.in.ReadSlice('\n')
+		if err := e.buffered.grow(3 * (len(long) + len(line))); err != nil {
+			return nil, err
+		}
 		long = append(long, line...)
 	}
 	return long, err
--- a/server/entry/stream.go
+++ b/server/entry/stream.go
@@ -134,7 +134,7 @@
 		return nil, x.fail(&attemptError{kind: failProtocol, err: Error.New("the answer is not an event stream")})
 	}
 	state.log.setVersionChange(rq.versionChange)
-	events := newEventReader(x.response.Body)
+	events := newEventReader(x.response.Body, &x.buffered)
 	defer events.release()
 	r := &streamRelay{x: x, state: state, continued: continued}
 	f = r.run(events)
