entry: messages of chat completions that crash backend servers

Cause: as for the parts of routed prompts (docs/incidents/crashing-part.md), a chat request was recognised by the hash of its whole body only. Found by looking for that cause elsewhere; nobody has reported it.

The messages of a chat request but the last count as its parts now, with the same evidence, clearance and quarantine.

--- a/server/entry/calls.go
+++ b/server/entry/calls.go
@@ -122,7 +122,7 @@
 		case f.wrote:
 			h.countFailure(rq, placed.server, f)
 			if f.serverCrashed {
-				h.reportCrash(ctx, rq, placed.server)
+				h.reportCrash(ctx, rq, placed.server, f)
 			}
 			return nil, problem.New(problem.OutcomeUnknown, "the backend server did not answer; the call may have run")
 		}
--- a/server/entry/chat.go
+++ b/server/entry/chat.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"hash"
 	"hash/fnv"
 	"io"
 	"net/http"
@@ -114,17 +115,22 @@
 func prefixHashes(messages []chatMessage) []uint64 {
 	hash := fnv.New64a()
 	out := make([]uint64, 0, len(messages))
-	for _, m := range messages {
-		_, _ = hash.Write([]byte(m.Role))
-		_, _ = hash.Write([]byte{0})
-		_, _ = hash.Write(m.Content)
-		_, _ = hash.Write([]byte{0})
+	for i := range messages {
+		messages[i].writeTo(hash)
 		out = append(out, hash.Sum64())
 	}
 	slices.Reverse(out)
 	return out
 }
 
+// writeTo adds the message to a hash.
+func (m *chatMessage) writeTo(hash hash.Hash) {
+	_, _ = hash.Write([]byte(m.Role))
+	_, _ = hash.Write([]byte{0})
+	_, _ = hash.Write(m.Content)
+	_, _ = hash.Write([]byte{0})
+}
+
 func (h *Handler) serveChat(w http.ResponseWriter, r *http.Request) {
 	if last := r.Header.Get(headerLastEventID); last != "" {
 		h.serveResume(w, r, last)
@@ -275,6 +281,7 @@
 		return nil, x.fail(&attemptError{kind: failProtocol, err: err})
 	}
 	x.recordSuccess()
+	h.recordPartsAnswered(rq)
 	h.countAnswer(rq, x.server, 0)
 	if parsed.Usage != nil {
 		h.addBillLine(rq, x.server, *parsed.Usage)
--- a/server/entry/crashes.go
+++ b/server/entry/crashes.go
@@ -100,17 +100,21 @@
 
 // reportCrash records in the control group that a backend server died while it ran the request. It returns a problem when
 // the crash could not be recorded or the request is quarantined now; the request must not be sent again then.
-func (h *Handler) reportCrash(ctx context.Context, rq *request, server *control.BackendServer) *problem.Problem {
+func (h *Handler) reportCrash(ctx context.Context, rq *request, server *control.BackendServer, f *attemptError) *problem.Problem {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), h.cfg.ControlTimeout)
 	defer cancel()
 	h.metrics.crashes.Inc()
-	reply, err := h.cfg.Control.ReportCrash(ctx, &control.ReportCrashRequest{
-		Fingerprint: rq.fingerprint, BackendServer: server.ID, Boot: server.Boot, Request: rq.id,
-	})
+	reports := h.crashReports(rq, server, f)
+	reply, err := h.cfg.Control.ReportCrash(ctx, &reports[0])
+	for i := 1; err == nil && i < len(reports); i++ {
+		// Earlier crashes of the request were reported without its parts.
+		reply, err = h.cfg.Control.ReportCrash(ctx, &reports[i])
+	}
 	if err != nil {
 		h.recordServerEvent(rq, server, "crash_not_reported", err.Error())
 		return problem.New(problem.BackendFailed, "the backend server died and the crash could not be recorded")
 	}
+	h.parts.addReported(reply.Parts, time.Now())
 	rq.crashes = max(reply.Crashes, 1)
 	h.crashes.put(rq.fingerprint, rq.crashes, time.Now())
 	h.recordServerEvent(rq, server, "crash_reported")
--- a/server/entry/dispatch.go
+++ b/server/entry/dispatch.go
@@ -321,7 +321,7 @@
 func (h *Handler) checkRetry(ctx context.Context, rq *request, server *control.BackendServer, f *attemptError) *problem.Problem {
 	h.countFailure(rq, server, f)
 	if f.serverCrashed {
-		if p := h.reportCrash(ctx, rq, server); p != nil {
+		if p := h.reportCrash(ctx, rq, server, f); p != nil {
 			return p
 		}
 	}
--- a/server/entry/harness_test.go
+++ b/server/entry/harness_test.go
@@ -90,6 +90,7 @@
 			return
 		}
 		raw, _ := io.ReadAll(r.Body)
+		r.Body = io.NopCloser(bytes.NewReader(raw))
 		got := received{path: r.URL.RequestURI(), header: r.Header.Clone(), from: r.RemoteAddr}
 		_ = json.Unmarshal(raw, &got.body)
 		b.mu.Lock()
--- a/server/entry/routed_parts.go
+++ b/server/entry/parts.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"hash/fnv"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -65,15 +67,36 @@
 	}
 }
 
-// sharedParts returns the ids of the prompt parts that the request may share with others. The last part is its own.
-func (c *routedCall) sharedParts() []string {
-	var ids []string
-	for i := range len(c.Parts) - 1 {
-		if id := c.Parts[i].ID; !slices.Contains(ids, id) {
-			ids = append(ids, id)
+// sharedParts returns the ids of the prompt parts that the request may share with others: the parts that a routed request lists,
+// or hashes of the messages of a chat request. The last part or message is its own.
+func (rq *request) sharedParts() []string {
+	if rq.parts != nil {
+		return rq.parts
+	}
+	rq.parts = []string{}
+	add := func(id string) {
+		if !slices.Contains(rq.parts, id) {
+			rq.parts = append(rq.parts, id)
+		}
+	}
+	switch {
+	case rq.routed != nil:
+		for i := range len(rq.routed.Parts) - 1 {
+			add(rq.routed.Parts[i].ID)
+		}
+	case rq.chat != nil:
+		for i := range len(rq.chat.Messages) - 1 {
+			add(rq.chat.Messages[i].partID())
 		}
 	}
-	return ids
+	return rq.parts
+}
+
+// partID returns the id of the message as a prompt part.
+func (m *chatMessage) partID() string {
+	hash := fnv.New64a()
+	m.writeTo(hash)
+	return "message-" + strconv.FormatUint(hash.Sum64(), 16)
 }
 
 // recordAnswer notes that an answer to a request with these parts began.
@@ -208,14 +231,11 @@
 // since the quarantine was first seen, the request is to wait instead.
 func (h *Handler) checkPartQuarantine(rq *request, now time.Time) *problem.Problem {
 	rq.heldForPart = false
-	if len(rq.routed.Parts) < 2 {
-		return nil
-	}
 	quarantined := h.quarantinedParts(now)
 	if len(quarantined) == 0 {
 		return nil
 	}
-	shared := rq.routed.sharedParts()
+	shared := rq.sharedParts()
 	for _, part := range shared {
 		q, ok := quarantined[part]
 		if !ok || slices.ContainsFunc(q.Common, func(p string) bool { return !slices.Contains(shared, p) }) {
@@ -240,7 +260,7 @@
 
 // recordPartsAnswered notes that a backend server has begun an answer to the request, and objects to the quarantine of its parts.
 func (h *Handler) recordPartsAnswered(rq *request) {
-	shared, now := rq.routed.sharedParts(), time.Now()
+	shared, now := rq.sharedParts(), time.Now()
 	if len(shared) == 0 {
 		return
 	}
@@ -275,13 +295,13 @@
 	if !f.answerBegan && len(rq.unansweredCrashes) < minUnansweredCrashes {
 		return nil
 	}
-	return h.parts.unanswered(rq.routed.sharedParts(), time.Now())
+	return h.parts.unanswered(rq.sharedParts(), time.Now())
 }
 
 // rememberDropped remembers an attempt that was dropped for a larger model, in case its backend server crashes on it.
 func (h *Handler) rememberDropped(x *exchange) {
 	now := time.Now()
-	parts := h.parts.unanswered(x.rq.routed.sharedParts(), now)
+	parts := h.parts.unanswered(x.rq.sharedParts(), now)
 	if len(parts) == 0 {
 		return
 	}
--- a/server/entry/routed_parts_test.go
+++ b/server/entry/parts_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -58,7 +60,7 @@
 }
 
 var _ = Describe("prompt parts that crash backend servers", func() {
-	stream := catalogue.Route{Kind: catalogue.KindStream, Resumable: true, MaxAttempts: 3, TimeLimitMillis: 5000}
+	resumable := catalogue.Route{Kind: catalogue.KindStream, Resumable: true, MaxAttempts: 3, TimeLimitMillis: 5000}
 	var crashed atomic.Int64
 	// fragile returns a backend server that crashes as it begins an answer to a prompt with the part "deadly".
 	fragile := func(id string) *backend {
@@ -91,7 +93,7 @@
 			s := newHarnessWith(c.fakeControl, fmt.Sprint("entry-", n), func(cfg *entry.Config) {
 				cfg.Control, cfg.RoutedRetryRatio, cfg.RoutedRetrySlack = c, 1, 100
 			})
-			s.setRoute(stream)
+			s.setRoute(resumable)
 			s.addServers("v1", backends...)
 			out = append(out, s)
 		}
@@ -151,4 +153,76 @@
 		Expect(time.Since(began)).To(BeNumerically(">=", 900*time.Millisecond), "other instances can object first")
 		Expect(c.quarantinedParts()["subject"].Crashes).To(Equal(control.QuarantineCrashes))
 	})
+
+	// Guards against the same by messages of chat completions, which callers share as well: no two bodies are alike.
+	DescribeTable("are refused in chat completions, too",
+		func(streamed bool, beginAnswer bool) {
+			crashed.Store(0)
+			c = &partControl{fakeControl: newFakeControl(), state: controlstate.New()}
+			var gone sync.Map // ids of crashed backend servers
+			fragileChat := func(id string) *backend {
+				var b *backend
+				b = newBackend(id, func(w http.ResponseWriter, r *http.Request) {
+					body, _ := io.ReadAll(r.Body)
+					switch {
+					case !strings.Contains(string(body), "deadly"):
+						if streamed {
+							stream(nil, "well")(w, r)
+						} else {
+							completion("well")(w, r)
+						}
+						return
+					case beginAnswer:
+						w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+						w.Header().Set("Content-Type", "text/event-stream")
+						_, _ = fmt.Fprint(w, "data: {")
+						w.(http.Flusher).Flush()
+					}
+					if b.server.Listener.Close() == nil {
+						crashed.Add(1)
+						gone.Store(id, true)
+					}
+					panic(http.ErrAbortHandler)
+				})
+				return b
+			}
+			var rows []*control.BackendServer
+			for n := range 14 {
+				rows = append(rows, serverRow(fragileChat(fmt.Sprint("b", n))))
+			}
+			for n := range 2 {
+				s := newHarnessWith(c.fakeControl, fmt.Sprint("entry-", n), func(cfg *entry.Config) { cfg.Control = c })
+				s.setServers(v1, rows...)
+				c.instances = append(c.instances, s)
+			}
+			ask := func(s *harness, messages ...string) reply {
+				var list []string
+				for _, m := range messages {
+					list = append(list, fmt.Sprintf(`{"role":"user","content":%q}`, m))
+				}
+				return s.chat(fmt.Sprintf(`{"model":"small","stream":%t,"messages":[%s]}`, streamed, strings.Join(list, ",")))
+			}
+			for _, s := range c.instances {
+				Expect(ask(s, "system", "subject", "sound").status).To(Equal(http.StatusOK))
+			}
+			for n := range 10 {
+				rows = slices.DeleteFunc(rows, func(r *control.BackendServer) bool {
+					_, ok := gone.Load(r.ID)
+					return ok
+				})
+				for _, s := range c.instances {
+					s.setServers(v1, rows...)
+				}
+				Expect(ask(c.instances[n%2], "system", fmt.Sprint("subject", n/4), "deadly", fmt.Sprint("own", n)).body).NotTo(ContainSubstring("well"))
+			}
+			Expect(crashed.Load()).To(BeNumerically("<=", 5))
+			for _, s := range c.instances {
+				Expect(ask(s, "system", "subject", "next").status).To(Equal(http.StatusOK))
+				Expect(ask(s, "system", "subject0", "next").status).To(Equal(http.StatusOK))
+			}
+		},
+		Entry("in streams that begin", true, true),
+		Entry("in streams that don't begin", true, false),
+		Entry("in whole answers", false, false),
+	)
 })
--- a/server/entry/place.go
+++ b/server/entry/place.go
@@ -161,6 +161,9 @@
 	if p != nil {
 		return nil, p
 	}
+	if p := h.checkPartQuarantine(rq, snap.Now); p != nil {
+		return nil, p
+	}
 	if waiting != nil && h.queue.isOutranked(waiting, nil) {
 		return nil, problem.New(problem.Overloaded, "other requests wait for "+rq.poolName()).WithRetryAfter(time.Second)
 	}
--- a/server/entry/request.go
+++ b/server/entry/request.go
@@ -47,8 +47,10 @@
 	fingerprint    string
 	// crashes is the number of backend servers that crashed while they ran a request with this fingerprint.
 	crashes int
-	// unansweredCrashes lists the backend servers that crashed before any part of an answer to a routed request. heldForPart
+	// parts holds the result of sharedParts, nil before its first call. unansweredCrashes lists the backend servers that
+	// crashed before any part of an answer. heldForPart
 	// is set while the request waits because of a prompt part that may crash backend servers.
+	parts             []string
 	unansweredCrashes []serverBoot
 	heldForPart       bool
 
--- a/server/entry/routed_crash.go
+++ b/server/entry/routed_crash.go
@@ -72,6 +72,17 @@
 // group has counted it. Otherwise the report is made in the background.
 func (h *Handler) reportRoutedCrash(rq *request, server *control.BackendServer, f *attemptError) {
 	rq.setFingerprint()
+	reports := h.crashReports(rq, server, f)
+	if len(reports[0].Parts) > 0 {
+		h.reportIfCrashed(server, reports)
+		return
+	}
+	h.background.Go(func() { h.reportIfCrashed(server, reports) })
+}
+
+// crashReports returns the reports on the crash of a backend server that ran the request: one for this crash, and if its parts are
+// suspected only now, one more for each earlier crash.
+func (h *Handler) crashReports(rq *request, server *control.BackendServer, f *attemptError) []control.ReportCrashRequest {
 	if !f.answerBegan && !f.sentEvents {
 		rq.unansweredCrashes = append(rq.unansweredCrashes, serverBoot{server.ID, server.Boot})
 	}
@@ -85,11 +96,7 @@
 			reports = append(reports, report)
 		}
 	}
-	if len(report.Parts) > 0 {
-		h.reportIfCrashed(server, reports)
-		return
-	}
-	h.background.Go(func() { h.reportIfCrashed(server, reports) })
+	return reports
 }
 
 // reportIfCrashed sends the reports if the backend server accepts no connection, and with them those of the attempts that were
--- a/server/entry/stream.go
+++ b/server/entry/stream.go
@@ -238,6 +238,7 @@
 	}
 	r.firstEventAt = time.Now()
 	h := r.x.h
+	h.recordPartsAnswered(r.x.rq)
 	h.countAnswer(r.x.rq, r.x.server, r.firstEventAt.Sub(r.x.began))
 	if !r.continued {
 		h.metrics.firstTokenSeconds.Observe(time.Since(r.x.rq.start).Seconds())
