entry: a backend server of a model that hangs until callers leave counts as slow

Callers of a model could go on meeting a backend server that sends no token: it was marked as slow by first tokens that arrived only.

The time that a caller waited in vain counts like a time to the first token. The new spec 'report a backend server as slow that hangs until callers leave' fails without it.

--- a/server/entry/dispatch.go
+++ b/server/entry/dispatch.go
@@ -61,8 +61,9 @@
 	serverCrashed bool
 	// answerBegan is set when the header of the answer had come, but no event yet; sentEvents when events had come.
 	answerBegan, sentEvents bool
-	// overdue is set when a stream of a chat request ended without an event, later than control.SlowFirstToken after dispatch.
-	overdue bool
+	// overdueFor is how long a stream of a chat request had waited for its first event when it ended without one; 0 if that was
+	// no longer than control.SlowFirstToken.
+	overdueFor time.Duration
 }
 
 // Error returns the kind and the cause.
@@ -271,7 +272,9 @@
 func (x *exchange) fail(f *attemptError) *attemptError {
 	f.wrote = x.response != nil || x.trace.seal()
 	f.answerBegan, f.sentEvents = x.answered && x.events == 0, x.events > 0
-	f.overdue = x.rq.chat != nil && x.rq.chat.Stream && x.events == 0 && time.Since(x.began) > control.SlowFirstToken
+	if waited := time.Since(x.began); x.rq.chat != nil && x.rq.chat.Stream && x.events == 0 && waited > control.SlowFirstToken {
+		f.overdueFor = waited
+	}
 	x.rq.written = x.rq.written || f.wrote
 	x.h.metrics.attempts.WithLabelValues(string(f.kind)).Inc()
 	x.logFailure(f)
--- a/server/entry/faults_test.go
+++ b/server/entry/faults_test.go
@@ -270,6 +270,24 @@
 		Expect(overdueAfter(control.SlowFirstToken + 100*time.Millisecond)).To(Equal(1))
 		Expect(overdueAfter(100 * time.Millisecond)).To(BeZero())
 	})
+
+	It("report a backend server as slow that hangs until callers leave (guards against one that stays in service)", func() {
+		s := newHarness(nil)
+		b := newBackend("b1", stream(nil, "x"))
+		s.setServers(v1, serverRow(b))
+		for range 16 {
+			s.chat(chatStream)
+		}
+		s.handler.TakeSuspects()
+		b.set(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+		for range 3 {
+			ctx, leave := context.WithTimeout(context.Background(), control.SlowFirstToken+100*time.Millisecond)
+			_, err := http.DefaultClient.Do(s.request(http.MethodPost, "/v1/chat/completions", chatStream).WithContext(ctx))
+			Expect(err).To(HaveOccurred())
+			leave()
+		}
+		Eventually(s.handler.TakeSuspects, 2*time.Second).Should(ConsistOf(control.SuspectReport{BackendServer: "b1", Boot: "b1-1", Reason: control.SuspectSlow}))
+	})
 })
 
 var _ = Describe("crashing requests", func() {
--- a/server/entry/outcomes.go
+++ b/server/entry/outcomes.go
@@ -90,7 +90,15 @@
 			c.Slow++
 		}
 	})
-	if firstToken > 0 && h.latency.observe(rq.version, key.server, firstToken) {
+	if firstToken > 0 {
+		h.observeFirstToken(rq, server, firstToken)
+	}
+}
+
+// observeFirstToken reports the backend server as slow if its first tokens are. wait is the time to the first token, or how long
+// the caller waited in vain.
+func (h *Handler) observeFirstToken(rq *request, server *control.BackendServer, wait time.Duration) {
+	if h.latency.observe(rq.version, serverBoot{server: server.ID, boot: server.Boot}, wait) {
 		h.outcomes.addSuspect(control.SuspectReport{BackendServer: server.ID, Boot: server.Boot, Reason: control.SuspectSlow})
 	}
 }
@@ -108,8 +116,9 @@
 // countFailure counts a failed attempt, unless the failure is no evidence against the backend server: the caller
 // cancelled it in time, the backend server was at capacity, or the request had crashed another backend server before.
 func (h *Handler) countFailure(rq *request, server *control.BackendServer, f *attemptError) {
-	if f.kind == failCancelled && f.overdue {
+	if f.kind == failCancelled && f.overdueFor > 0 {
 		h.outcomes.update(outcomeKeyFor(rq, server), func(c *control.Outcome) { c.Overdue++ })
+		h.observeFirstToken(rq, server, f.overdueFor)
 	}
 	if f.kind == failCancelled || f.kind == failBusy || f.serverCrashed && rq.crashes > 0 {
 		return
