replica: a membership counts once it is committed

Operators and tests saw a repaired replica as a voter from the append of its admission on. Cause: the status and the answer to Join showed the membership in force, which a new leader takes back if the entry is on no other replica.

Status.Members and Join now tell the newest committed membership.

TestUncommittedMembership failed before ("the status names a voter whose admission is not committed", admission "voter") and passes; replica and raft tests pass.

--- a/server/raft/node.go
+++ b/server/raft/node.go
@@ -164,8 +164,11 @@
 // Members returns the membership in force.
 func (n *Node) Members() Membership { return n.memberships[len(n.memberships)-1].members }
 
+// CommittedMembers returns the newest membership that is committed. Another leader can't take it back.
+func (n *Node) CommittedMembers() Membership { return n.MembersAt(n.log.commitIndex) }
+
 // MembersAt returns the membership in force after the entry at index. The index must not be below that of the newest
-// snapshot, and the entry must have been handed out in Ready.Committed.
+// snapshot, and the entry must be committed.
 func (n *Node) MembersAt(index uint64) Membership {
 	members := n.memberships[0].members
 	for _, membership := range n.memberships {
--- a/server/replica/contract.go
+++ b/server/replica/contract.go
@@ -96,7 +96,8 @@
 	CommitIndex uint64
 	Applied     uint64
 	LeaderID    string
-	Members     []MemberStatus
+	// Members is the newest committed membership.
+	Members []MemberStatus
 }
 
 // MemberStatus is the state of one member of the group.
--- a/server/replica/membership.go
+++ b/server/replica/membership.go
@@ -37,7 +37,7 @@
 	JoinLearner JoinProgress = "learner"
 	// JoinCatchingUp means that the learner has not synced its log up to the commit index.
 	JoinCatchingUp JoinProgress = "catching_up"
-	// JoinChanging means that a membership change was proposed.
+	// JoinChanging means that a membership change was proposed and is not committed yet.
 	JoinChanging JoinProgress = "changing_membership"
 )
 
@@ -149,6 +149,9 @@
 func (r *Replica) advanceMemberAdmission(members raft.Membership, member raft.Member) (JoinProgress, error) {
 	switch {
 	case member.Voter:
+		if committed, _ := r.node.CommittedMembers().Find(member.Node); !committed.Voter {
+			return JoinChanging, nil
+		}
 		return JoinVoter, nil
 	case !member.Rejoining:
 		return JoinLearner, nil
