--- a/server/replica/loop.go
+++ b/server/replica/loop.go
@@ -133,11 +133,18 @@
 // timeout.
 const diskFullRetryInterval = 100 * time.Millisecond
 
+// slowSync is the time of a write to the disk from which on it is logged, the shortest election timeout by default.
+const slowSync = 500 * time.Millisecond
+
 // persistRetryingFullDisk persists ready and retries while the disk is full. During the retries this replica sends no
 // messages, so that the other replicas elect another leader and continue without this one. persistRetryingFullDisk
 // returns ErrStopped if the replica is stopped during the retries.
 func (r *Replica) persistRetryingFullDisk(ready raft.Ready) error {
+	began := time.Now()
 	err := r.persist(ready)
+	if took := time.Since(began); took >= slowSync {
+		r.cfg.Logger.Warn("slow_sync", "folder", r.cfg.DataDir, "took", took)
+	}
 	if !wal.ErrFull.Has(err) {
 		return err
 	}
@@ -288,7 +295,7 @@
 		ID: r.cfg.ID, Node: string(r.nodeID), Term: r.node.Term(), CommitIndex: r.node.CommitIndex(),
 		LeaderID: memberID(r.node.Leader()),
 	}
-	for _, m := range r.node.Members() {
+	for _, m := range r.node.CommittedMembers() {
 		match, active := r.node.MatchIndex(m.Node)
 		if r.node.Role() != raft.Leader {
 			match, active = 0, false
