e2e: compare the newest event of a time line with the time of the question

"the time line includes recent events" compared with the time at which the answer came; the trace in KNOWN-RED.txt shows a query of 1.28 s whose rings were read at its beginning, which the bound of a query (3 s) allows. The spec now compares with the beginning of the query, within the same second, and checks that the query takes no longer than its bound, which it did not check before.

--- a/standin/e2e/combined_test.go
+++ b/standin/e2e/combined_test.go
@@ -35,6 +35,9 @@
 	callers                 sync.WaitGroup
 }
 
+// timelineTimeout is the longest time that a merged time line may take; control instances stop to wait for other processes then.
+const timelineTimeout = 3 * time.Second
+
 func killLeader(t *loadedSite) {
 	t.killedID.Store(t.firstLeader.ID)
 	t.firstLeader.Kill()
@@ -79,9 +82,12 @@
 	before := served()
 	time.Sleep(2 * time.Second)
 	Expect(served()).To(Equal(before), "requests that reached the zone later than 6 s after the order")
+	asked := time.Now()
 	events, err := t.Timeline(t.follower, "server_chosen")
 	Expect(err).NotTo(HaveOccurred())
-	Expect(events[len(events)-1].Stamp.Time()).To(BeTemporally("~", time.Now(), time.Second), "the time line includes recent events")
+	Expect(time.Since(asked)).To(BeNumerically("<", timelineTimeout))
+	// The rings are read at some moment of the query, so that the answer is compared with its beginning.
+	Expect(events[len(events)-1].Stamp.Time()).To(BeTemporally(">", asked.Add(-time.Second)), "the time line includes recent events")
 	for _, e := range events {
 		if t.unreachableID.Load() != e.Instance && e.Stamp.Time().After(accepted.Add(2*time.Second)) {
 			Expect(e.BackendServer).NotTo(Or(HaveSuffix("-north"), Equal(t.orderServer.ID())), "%+v", e)
