--- a/server/entry/handler.go
+++ b/server/entry/handler.go
@@ -64,6 +64,8 @@
 	runningByWorkspace namedCounters
 	// suspectUntil holds the time until which a suspect backend server is avoided, by its id.
 	suspectUntil namedTimes
+	// unnamedAnswers holds the backend servers, by serverKey, whose answers don't name the attempt that they answer, and since when.
+	unnamedAnswers namedTimes
 
 	mu sync.Mutex // guards the fields below, up to idle
 	// openCount is the number of requests in progress, plus the goroutines that work for them.
--- a/server/entry/namedvalues.go
+++ b/server/entry/namedvalues.go
@@ -41,6 +41,8 @@
 	return time.Time{}
 }
 
+func (t *namedTimes) remove(name string) { t.byName.Delete(name) }
+
 // keepOnly deletes each name for which keep returns false.
 func (t *namedTimes) keepOnly(keep func(name string) bool) {
 	t.byName.Range(func(key, _ any) bool {
--- a/server/entry/watch.go
+++ b/server/entry/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -93,6 +94,10 @@
 		h.runningAttempts.cancelDead(&fleet, time.Now())
 		h.removeEndedStatements(&fleet, time.Now())
 		h.suspectUntil.keepOnly(func(id string) bool { return fleet.Servers[id] != nil })
+		h.unnamedAnswers.keepOnly(func(key string) bool {
+			id, boot, _ := strings.Cut(key, "/")
+			return fleet.Servers[id] != nil && fleet.Servers[id].Boot == boot
+		})
 		select {
 		case <-changed:
 		case <-poll.C:
