entry: a stream goes on only with its own kind of answer

A stream that had begun and broke off was continued with whatever the next backend server sent with status 200: a text, a whole head, or the events from the beginning. Callers had it in the middle of their stream. Ruled out: other statuses, which aborted the stream before, too.

A continuation needs the Content-Type of the answer that began and, where ids are numbers, a first event after the caller's last one. Otherwise the attempt has failed.

--- a/server/entry/routed.go
+++ b/server/entry/routed.go
@@ -32,6 +32,8 @@
 	// sent to the caller.
 	lastEventID   string
 	answerStarted bool
+	// contentType is the type of the answer that was started; one that goes on with it has the same.
+	contentType string
 	// failureAnswer is a failed attempt's answer, which is sent to the caller if no other attempt succeeds.
 	failureAnswer *answer
 	// maxBodyBytes is the largest allowed request body.
--- a/server/entry/routed_run.go
+++ b/server/entry/routed_run.go
@@ -90,8 +90,8 @@
 		return f
 	case !metadata.FromApplication:
 		return x.fail(&attemptError{kind: failProtocol, err: Error.New("status %d without the server's mark", status)})
-	case call.answerStarted && status != http.StatusOK:
-		return x.fail(&attemptError{kind: failStatus, err: Error.New("status %d for a continuation", status)})
+	case call.answerStarted && (status != http.StatusOK || x.response.Header.Get("Content-Type") != call.contentType):
+		return x.fail(&attemptError{kind: failStatus, err: Error.New("status %d and type %q for a continuation", status, x.response.Header.Get("Content-Type"))})
 	case status >= http.StatusInternalServerError && call.route.Repeatable() && x.rq.countedAttempts < x.rq.maxAttempts():
 		// The answer is kept, to be sent to the caller if no other attempt is allowed.
 		return x.fail(&attemptError{kind: failStatus, err: Error.New("status %d", status), refused: x.readFailureAnswer()})
--- a/server/entry/routed_stream.go
+++ b/server/entry/routed_stream.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 )
 
@@ -58,6 +59,14 @@
 	return ""
 }
 
+// isRepeated reports whether the first event of an attempt is one that the caller has already. last is the id of the caller's last
+// event. Ids that are no numbers, and events without one, can't be compared.
+func isRepeated(last, id string) bool {
+	lastNumber, lastErr := strconv.ParseUint(last, 10, 64)
+	number, err := strconv.ParseUint(id, 10, 64)
+	return lastErr == nil && err == nil && number <= lastNumber
+}
+
 // relayStream sends events to the caller as they arrive. It sends complete events only, so that after a broken connection
 // another backend server can continue after the last one.
 func (h *Handler) relayStream(w http.ResponseWriter, x *exchange) *attemptError {
@@ -79,6 +88,10 @@
 			return x.failConnection(err)
 		}
 		x.running.touch()
+		id := eventID(event)
+		if x.events == 0 && isRepeated(call.lastEventID, id) {
+			return x.fail(&attemptError{kind: failProtocol, err: Error.New("event %s after event %s", id, call.lastEventID)})
+		}
 		x.events++
 		now := time.Now()
 		if first == 0 {
@@ -91,7 +104,7 @@
 		last = now
 		x.sampleInterval(x.events, now.Sub(x.began)-first, false)
 		if !call.answerStarted {
-			call.answerStarted = true
+			call.answerStarted, call.contentType = true, x.response.Header.Get("Content-Type")
 			h.metrics.firstTokenSeconds.Observe(time.Since(x.rq.start).Seconds())
 			copyHeader(w.Header(), x.response.Header)
 			disableSniffing(w.Header())
@@ -104,7 +117,7 @@
 		if err := controller.Flush(); err != nil {
 			return x.fail(&attemptError{kind: failCancelled, err: err})
 		}
-		if id := eventID(event); id != "" {
+		if id != "" {
 			call.lastEventID = id
 		}
 	}
