announce: control instances pass announcements on together

A control instance joins what arrives within 20 ms, has one call under way, and tells each backend server the result of its call.

--- a/server/daemon/listen.go
+++ b/server/daemon/listen.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"clementinetray/server/announce"
 	"clementinetray/server/callerconn"
 )
 
@@ -157,7 +158,7 @@
 	if d.Settings.Adapter == "" {
 		return d.service.OperatorHandler([]string{d.Settings.OperatorTokenSHA256})
 	}
-	return d.Adapter.Control(ControlAPI{Operators: d.service.CallOperatorAPI, Announce: d.Client.Announce, Log: d.Logger})
+	return d.Adapter.Control(ControlAPI{Operators: d.service.CallOperatorAPI, Announce: announce.NewBatcher(d.Client).Announce, Log: d.Logger})
 }
 
 func (d *daemon) metricsHandler() http.Handler {
