controlclient: no second call while all replicas are slow

A Sync asks the next replica after 100 ms. When replicas take longer because hundreds of instances read the table at once, each Sync became five calls, which made all of them slower still; timed out calls close their connections, which are opened and authenticated again.

The delay is now three times the time that replicas take to answer, 100 ms at least and 1 s at most.

--- a/server/controlclient/client.go
+++ b/server/controlclient/client.go
@@ -47,6 +47,8 @@
 	leader string
 	// leaderChanged is closed and replaced when setLeader sets another address.
 	leaderChanged chan struct{}
+	// syncTime is a running estimate of how long a replica takes to answer a Sync.
+	syncTime time.Duration
 	// replicas are the addresses to call: the seeds and, with discovery, those in the last reply. It is never empty.
 	replicas []string
 }
@@ -57,9 +59,15 @@
 	// callTimeout is the timeout of one call, after which the next replica is tried. A partition may drop packets without
 	// an error.
 	callTimeout = time.Second
-	// hedgeDelay is the delay after which Sync calls the next replica in parallel. It is longer than a round trip between
+	// minHedgeDelay is the shortest delay after which Sync calls the next replica in parallel. It is longer than a round trip between
 	// regions of a continent. A replica that is still down after a power failure delays Sync only by this time.
-	hedgeDelay = 100 * time.Millisecond
+	minHedgeDelay = 100 * time.Millisecond
+	// hedgeFactor is the delay in units of the time that replicas take to answer. When all replicas are slow, because hundreds of
+	// instances started at once, further calls of each instance would only make them slower.
+	hedgeFactor = 3
+	// syncTimeWeight is the weight of a new measurement that is below the estimate. One above it counts half, so that
+	// the estimate rises fast.
+	syncTimeWeight = 0.2
 	// retryDelay is the pause after a failed write, unless the leader changed during the call.
 	retryDelay = 100 * time.Millisecond
 )
@@ -78,7 +86,7 @@
 }
 
 // Sync implements control.Client. It calls the replica that answered last, and then the others one by one whenever a call
-// fails or takes longer than hedgeDelay. It returns the first reply, or control.ErrUnavailable.
+// fails or takes longer than hedgeDelay returns. It returns the first reply, or control.ErrUnavailable.
 func (c *Client) Sync(ctx context.Context, in *control.SyncRequest) (*control.SyncReply, error) {
 	in.Meta, in.AcceptsPacked = c.meta(), true
 	ctx, cancel := context.WithCancel(ctx)
@@ -86,6 +94,7 @@
 	type answer struct {
 		address string
 		reply   *control.SyncReply
+		took    time.Duration
 		err     error
 	}
 	addresses := c.callOrder()
@@ -98,16 +107,16 @@
 		address, request := addresses[started], *in
 		started, pending = started+1, pending+1
 		go func() {
-			out := &control.SyncReply{}
+			out, began := &control.SyncReply{}, time.Now()
 			err := c.callOnce(ctx, address, "Control.Sync", &request, out)
 			if err == nil {
 				out.Fleet, err = fleet.UnpackRows(out.Fleet)
 			}
-			answers <- answer{address, out, err}
+			answers <- answer{address, out, time.Since(began), err}
 		}()
 	}
 	callNext()
-	hedgeTicker := time.NewTicker(hedgeDelay)
+	hedgeTicker := time.NewTicker(c.hedgeDelay())
 	defer hedgeTicker.Stop()
 	var lastErr error
 	for pending > 0 && ctx.Err() == nil {
@@ -120,6 +129,7 @@
 				callNext()
 				continue
 			}
+			c.observeSyncTime(a.took)
 			c.clock.Observe(a.reply.Stamp)
 			c.setLeader(a.reply.Leader)
 			c.setFirstReplica(a.address)
@@ -132,6 +142,24 @@
 	return nil, control.ErrUnavailable.Wrap(lastErr)
 }
 
+// hedgeDelay returns the delay after which Sync calls the next replica in parallel.
+func (c *Client) hedgeDelay() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return min(max(hedgeFactor*c.syncTime, minHedgeDelay), callTimeout)
+}
+
+// observeSyncTime adds the time that a replica took to answer to the estimate.
+func (c *Client) observeSyncTime(took time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	weight := syncTimeWeight
+	if took > c.syncTime {
+		weight = 0.5
+	}
+	c.syncTime += time.Duration(weight * float64(took-c.syncTime))
+}
+
 // setFirstReplica makes address the first replica that the next Sync calls.
 func (c *Client) setFirstReplica(address string) {
 	c.mu.Lock()
--- a/server/controlclient/client_test.go
+++ b/server/controlclient/client_test.go
@@ -29,6 +29,7 @@
 	server     *peer.Server
 	calls      atomic.Int64
 	isLeader   atomic.Bool
+	syncDelay  atomic.Int64 // in nanoseconds
 	pinHandler atomic.Pointer[func() error]
 }
 
@@ -50,6 +51,7 @@
 // Sync replies with this replica's address, also as the leader's if it is the leader.
 func (r *Replica) Sync(_ *control.SyncRequest, out *control.SyncReply) error {
 	r.calls.Add(1)
+	time.Sleep(time.Duration(r.syncDelay.Load()))
 	out.Instance = r.server.Address()
 	if r.isLeader.Load() {
 		out.Leader = out.Instance
@@ -158,6 +160,40 @@
 		Expect(time.Since(started)).To(BeNumerically("<", 100*time.Millisecond), "the second Sync starts with the replica that answered")
 	})
 
+	It("makes few calls while all replicas are slow, and asks the next one fast again once they are not (guards against instances that keep an overloaded control group busy)", func() {
+		replicas, c := startReplicas(5)
+		setDelay := func(delay time.Duration) {
+			for _, r := range replicas {
+				r.syncDelay.Store(int64(delay))
+				r.calls.Store(0)
+			}
+		}
+		calls := func() (sum int64) {
+			for _, r := range replicas {
+				sum += r.calls.Load()
+			}
+			return sum
+		}
+		syncs := func(n int) {
+			for range n {
+				_, err := c.Sync(context.Background(), &control.SyncRequest{})
+				Expect(err).NotTo(HaveOccurred())
+			}
+		}
+		setDelay(450 * time.Millisecond)
+		syncs(3)
+		setDelay(450 * time.Millisecond)
+		syncs(4)
+		Expect(calls()).To(BeNumerically("<=", 4), "one call for each Sync")
+		setDelay(0)
+		syncs(20)
+		Expect(replicas[0].server.Close()).To(Succeed())
+		replicas[1].syncDelay.Store(int64(time.Second))
+		started := time.Now()
+		syncs(1)
+		Expect(time.Since(started)).To(BeNumerically("<", 500*time.Millisecond))
+	})
+
 	It("syncs with the next replica when one is down or skipped (guards against a view that ages although replicas are up)", func() {
 		replicas, c := startReplicas(3)
 		first, err := c.Sync(context.Background(), &control.SyncRequest{})
