fleet: the table is read in parts, and a current reader costs no scan

Readers of the fleet table cost the control group more than their number: (1) the whole table of 3,000 servers is 100 KB packed, takes 11 ms and 7 MB to make for each of 300 instances, and longer on a link of 10 Mbit/s than an instance waits before it asks the next replica, too; (2) each announcement raised the version, so that each Sync scanned the table, three times; (3) each entry instance that joins or leaves sent the list of all instances to all of them.

An older instance or replica on either side falls back to whole tables.

--- a/api/control/messages.go
+++ b/api/control/messages.go
@@ -263,6 +263,15 @@
 	// Members lists all entry instances if MembersChanged is set. The flag is needed because gob decodes an empty list as nil.
 	Members        []Member
 	MembersChanged bool
+	// MembersJoined and MembersLeft, by instance, replace Members if only some changed and the receiver set AcceptsParts.
+	MembersJoined []Member
+	MembersLeft   []string
+	// More is true if the delta is a part that ends with the row LastNumber, and further rows follow. A part holds changed rows
+	// only; the last one holds everything else, too. The parts together are a delta of the lowest of their versions.
+	More       bool
+	LastNumber uint32
+	// After is the number after which the part begins, 0 for the first one.
+	After uint32
 }
 
 // Member is one entry instance that sends heartbeats.
@@ -285,6 +294,11 @@
 	RatingsVersion uint64
 	// AcceptsPacked is true if the sender can read FleetDelta.Packed.
 	AcceptsPacked bool
+	// AcceptsParts is true if the sender can read FleetDelta.More, MembersJoined and MembersLeft.
+	AcceptsParts bool
+	// PartEpoch and PartAfter ask for the rows after the number PartAfter, if parts of that epoch were received before.
+	PartEpoch string
+	PartAfter uint32
 }
 
 // RatingRow is the estimated quality of a version for a class, given by the parameters of a beta distribution.
--- a/server/controlsvc/contract.go
+++ b/server/controlsvc/contract.go
@@ -60,6 +60,8 @@
 	SetPhase(now time.Time, id, boot string, phase control.Phase, limit int, reason string)
 	// Delta returns the changes since the given version, or the whole table if the epoch isn't the current one.
 	Delta(now time.Time, epoch string, version uint64) control.FleetDelta
+	// ReadPart returns the next part of the changes that the request asks for, packed.
+	ReadPart(now time.Time, in *control.SyncRequest) (control.FleetDelta, error)
 	// LoadDelta applies a delta of the leader on a follower.
 	LoadDelta(now time.Time, d control.FleetDelta)
 	Snapshot(now time.Time) *blackboard.Fleet
--- a/server/controlsvc/fakes_test.go
+++ b/server/controlsvc/fakes_test.go
@@ -276,6 +276,10 @@
 	return d
 }
 
+func (t *fakeTable) ReadPart(now time.Time, in *control.SyncRequest) (control.FleetDelta, error) {
+	return t.Delta(now, in.FleetEpoch, in.FleetVersion), nil
+}
+
 func (t *fakeTable) LoadDelta(_ time.Time, d control.FleetDelta) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/server/controlsvc/rpc.go
+++ b/server/controlsvc/rpc.go
@@ -24,13 +24,9 @@
 	age, known := s.Log.MaxStateAge(started)
 	l, _ := s.Log.LeadershipChanged()
 	out.View, out.Revision = s.State.ViewSince(in.Revision)
-	out.Fleet = s.FleetTable.Delta(started, in.FleetEpoch, in.FleetVersion)
-	if in.AcceptsPacked {
-		packed, err := fleet.PackRows(out.Fleet)
-		if err != nil {
-			return err
-		}
-		out.Fleet = packed
+	var err error
+	if out.Fleet, err = s.fleetDelta(started, in); err != nil {
+		return err
 	}
 	out.Ratings = s.Ratings.TableIfNewer(in.RatingsVersion)
 	out.Leader = l.LeaderAddress
@@ -48,6 +44,18 @@
 	return nil
 }
 
+// fleetDelta returns the changes of the fleet table in the form that the sender accepts.
+func (s *Service) fleetDelta(now time.Time, in *control.SyncRequest) (control.FleetDelta, error) {
+	if in.AcceptsParts {
+		return s.FleetTable.ReadPart(now, in)
+	}
+	d := s.FleetTable.Delta(now, in.FleetEpoch, in.FleetVersion)
+	if !in.AcceptsPacked {
+		return d, nil
+	}
+	return fleet.PackRows(d)
+}
+
 // requireLeader returns ErrNotLeader unless this replica is the leader and has reset its soft state (the state that isn't
 // in the log) for the term.
 func (s *Service) requireLeader() error {
--- a/server/fleet/apply.go
+++ b/server/fleet/apply.go
@@ -30,9 +30,7 @@
 	if d.Epoch == old.Epoch {
 		next.EpochSince = old.EpochSince
 	}
-	if d.MembersChanged {
-		next.Members = d.Members
-	}
+	next.Members = mergeMembers(old.Members, d)
 	next.Servers = indexByID(mergeRows(old, d, now, next.EpochSince))
 	groupServers(next)
 	return next
--- a/server/fleet/table.go
+++ b/server/fleet/table.go
@@ -30,9 +30,17 @@
 
 	members        map[string]*member
 	membersVersion uint64
+	// leftMembers and trimmedMembersVersion are for entry instances what tombstones and trimmedVersion are for rows.
+	leftMembers           []tombstone
+	trimmedMembersVersion uint64
+	// partRows is the largest number of rows in one part of a delta. fullParts holds the parts of the whole table that were made last.
+	partRows  int
+	fullParts partCache
 
 	// nextExpiry is at or before the first expiry of a row or member, so that most calls need not check them.
 	nextExpiry time.Time
+	// nextSilence is at or before the next time at which a row becomes silent.
+	nextSilence time.Time
 	// snapshot is the last result of Snapshot. nonLoadVersion is the version of the last change other than of loads.
 	snapshot       *blackboard.Fleet
 	nonLoadVersion uint64
@@ -54,7 +62,7 @@
 	changedIn, loadIn, hashesIn uint64
 }
 
-// tombstone records a removed row, so that the removal is sent to readers of an older version.
+// tombstone records a removed row or member, so that the removal is sent to readers of an older version.
 type tombstone struct {
 	id      string
 	version uint64
@@ -63,11 +71,13 @@
 type member struct {
 	control.Member
 	expiresAt time.Time
+	// changedIn is the table version of the last change.
+	changedIn uint64
 }
 
 // NewTable returns an empty table without an epoch.
 func NewTable() *Table {
-	return &Table{rows: map[string]*row{}, members: map[string]*member{}}
+	return &Table{rows: map[string]*row{}, members: map[string]*member{}, partRows: maxPartRows}
 }
 
 // epochPrefix is the prefix of the epochs that Epoch returns.
@@ -89,8 +99,9 @@
 	t.epoch, t.isCopy = epoch, false
 	t.version++
 	t.trimmedVersion, t.tombstones = t.version, nil
+	t.trimmedMembersVersion, t.leftMembers = t.version, nil
 	t.membersVersion, t.nonLoadVersion = t.version, t.version
-	t.nextExpiry = now.Add(MemberTTL)
+	t.nextExpiry, t.nextSilence = now.Add(MemberTTL), now
 	for _, r := range t.rows {
 		r.expiresAt, r.silenceStart = now.Add(AnnouncementTTL), now
 		t.markRow(r)
@@ -236,9 +247,8 @@
 func ColdLimit(a control.Announcement) int { return min(max(a.ColdCapacity, 1), a.Capacity) }
 
 func (t *Table) applyAnnouncement(now time.Time, r *row, a control.Announcement) {
-	t.version++
 	a.Leaving = a.Leaving || r.server.Deregistered || !r.saysLeavingAt.IsZero() && now.Sub(r.saysLeavingAt) < lateAnnouncementTime
-	old := r.server.Announcement
+	old, oldReason := r.server.Announcement, r.server.Reason
 	prefixes := t.acceptPrefixes(now, r, a)
 	same := sameIdentity(old, a) && !r.server.Silent
 	r.server.Announcement, r.server.Silent = a, false
@@ -249,13 +259,23 @@
 		r.server.Phase, r.server.Limit, r.server.Reason = control.PhaseInService, 0, "states its cold time"
 		if a.Leaving {
 			r.server.Phase, r.server.Reason = control.PhaseLeaving, "announced that it leaves"
+			if old.Leaving {
+				r.server.Reason = oldReason
+			}
 		}
 	}
 	r.reportedAt, r.silenceStart, r.expiresAt = now, now, now.Add(AnnouncementTTL)
-	if !a.StatesCold || a.ColdMillis > 0 || a.Running != old.Running || a.Queued != old.Queued {
+	loadChanged := !a.StatesCold || a.ColdMillis > 0 || a.Running != old.Running || a.Queued != old.Queued
+	prefixesChanged := !slices.Equal(old.PrefixHashes, prefixes)
+	if same && !loadChanged && !prefixesChanged {
+		// Readers need not be told: each of thousands of backend servers announces itself about once a second.
+		return
+	}
+	t.version++
+	if loadChanged {
 		r.loadIn = t.version
 	}
-	if !slices.Equal(old.PrefixHashes, prefixes) {
+	if prefixesChanged {
 		r.hashesIn = t.version
 	}
 	if !same {
@@ -292,19 +312,28 @@
 	if leaving {
 		// A late message of an earlier boot must not remove the instance that replaced it.
 		if old != nil && old.Boot == m.Boot {
-			delete(t.members, m.Instance)
-			t.markMembersChanged()
+			t.removeMember(m.Instance)
 		}
 		return
 	}
 	if old == nil || old.Member != m {
-		t.members[m.Instance] = &member{Member: m}
-		t.scheduleExpiry(now.Add(MemberTTL))
 		t.markMembersChanged()
+		t.members[m.Instance] = &member{Member: m, changedIn: t.version}
+		t.scheduleExpiry(now.Add(MemberTTL))
 	}
 	t.members[m.Instance].expiresAt = now.Add(MemberTTL)
 }
 
+func (t *Table) removeMember(instance string) {
+	delete(t.members, instance)
+	t.markMembersChanged()
+	t.leftMembers = append(t.leftMembers, tombstone{id: instance, version: t.version})
+	if len(t.leftMembers) > maxTombstones {
+		t.trimmedMembersVersion = t.leftMembers[0].version
+		t.leftMembers = slices.Delete(t.leftMembers, 0, 1)
+	}
+}
+
 func (t *Table) markMembersChanged() {
 	t.version++
 	t.membersVersion, t.nonLoadVersion = t.version, t.version
@@ -365,8 +394,7 @@
 	}
 	for instance, m := range t.members {
 		if !now.Before(m.expiresAt) {
-			delete(t.members, instance)
-			t.markMembersChanged()
+			t.removeMember(instance)
 			continue
 		}
 		t.scheduleExpiry(m.expiresAt)
@@ -391,7 +419,11 @@
 	t.removeExpired(now)
 	t.markSilent(now)
 	d := control.FleetDelta{Epoch: t.epoch, Version: t.version}
-	if epoch != t.epoch || version < t.trimmedVersion {
+	if epoch == t.epoch && version == t.version {
+		// Most readers ask for changes often and have the current version. They must not cost a scan of the table.
+		return d
+	}
+	if t.needsWhole(epoch, version) {
 		d.Full, version = true, 0
 	}
 	for _, r := range t.rows {
@@ -418,15 +450,23 @@
 // markSilent marks the backend servers that announce their cold time and whose last announcement is SilentAfter old.
 // It does nothing on a follower, because the leader marks them.
 func (t *Table) markSilent(now time.Time) {
-	if t.isCopy {
+	if t.isCopy || now.Before(t.nextSilence) {
 		return
 	}
+	t.nextSilence = now.Add(SilentAfter)
 	for _, r := range t.rows {
-		if r.server.StatesCold && !r.server.Silent && now.Sub(r.silenceStart) >= SilentAfter {
-			r.server.Silent = true
-			t.version++
-			r.changedIn, t.nonLoadVersion = t.version, t.version
+		if !r.server.StatesCold || r.server.Silent {
+			continue
+		}
+		if silentAt := r.silenceStart.Add(SilentAfter); now.Before(silentAt) {
+			if silentAt.Before(t.nextSilence) {
+				t.nextSilence = silentAt
+			}
+			continue
 		}
+		r.server.Silent = true
+		t.version++
+		r.changedIn, t.nonLoadVersion = t.version, t.version
 	}
 }
 
@@ -539,9 +579,23 @@
 }
 
 func (t *Table) replaceMembers(now time.Time, members []control.Member) {
-	clear(t.members)
+	old := t.members
+	t.members = make(map[string]*member, len(members))
 	for _, m := range members {
-		t.members[m.Instance] = &member{Member: m, expiresAt: now.Add(MemberTTL)}
+		copied := &member{Member: m, expiresAt: now.Add(MemberTTL), changedIn: t.version}
+		if known := old[m.Instance]; known != nil && known.Member == m {
+			copied.changedIn = known.changedIn
+		}
+		t.members[m.Instance] = copied
+	}
+	for instance := range old {
+		if t.members[instance] == nil {
+			t.leftMembers = append(t.leftMembers, tombstone{id: instance, version: t.version})
+		}
+	}
+	if excess := len(t.leftMembers) - maxTombstones; excess > 0 {
+		t.trimmedMembersVersion = t.leftMembers[excess-1].version
+		t.leftMembers = slices.Delete(t.leftMembers, 0, excess)
 	}
 	t.membersVersion = t.version
 }
--- a/server/syncer/syncer.go
+++ b/server/syncer/syncer.go
@@ -12,6 +12,7 @@
 	"clementinetray/api/event"
 	"clementinetray/server/blackboard"
 	"clementinetray/server/clock"
+	"clementinetray/server/fleet"
 )
 
 // Error is the class of all errors of this package.
@@ -47,6 +48,8 @@
 	ratings    *blackboard.Writer[*control.RatingTable]
 	// stale is true if the view was missing or older than maxViewAge at the last check by updateStale.
 	stale bool
+	// parts holds the received parts of a delta of the fleet table.
+	parts fleet.Assembly
 	// staleChangedAt is the time when stale last changed.
 	staleChangedAt time.Time
 }
@@ -93,6 +96,9 @@
 
 // nextPause returns the pause before the next Sync call.
 func (s *Syncer) nextPause() time.Duration {
+	if s.parts.Incomplete() {
+		return 0
+	}
 	if s.stale || time.Since(s.staleChangedAt) < fastSyncPeriod {
 		return staleInterval
 	}
@@ -103,10 +109,11 @@
 func (s *Syncer) SyncOnce(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	current, fleet := s.board.View.Load(), s.board.Fleet.Load()
-	request := &control.SyncRequest{Revision: viewRevision(current), FleetEpoch: fleet.Epoch, FleetVersion: fleet.Version}
-	if table := s.board.FleetRatings.Load(); table != nil {
-		request.RatingsVersion = table.Version
+	current, table := s.board.View.Load(), s.board.Fleet.Load()
+	request := &control.SyncRequest{Revision: viewRevision(current), FleetEpoch: table.Epoch, FleetVersion: table.Version}
+	s.parts.Continue(request)
+	if ratings := s.board.FleetRatings.Load(); ratings != nil {
+		request.RatingsVersion = ratings.Version
 	}
 	sentAt, suspendedTime := time.Now(), clock.SuspendedTime()
 	reply, err := s.replicas.Sync(ctx, request)
@@ -144,8 +151,11 @@
 		s.recorder.Record(event.Event{Kind: "view_in_force", Revision: next.Revision})
 	}
 	s.view.Publish(blackboard.View{View: next, ConfirmedAt: confirmed, SuspendedTime: suspendedTime, LeaderAddress: reply.Leader})
-	fleet := s.board.Fleet.Load()
-	s.fleet.Publish(*s.applyFleet(&fleet, reply.Fleet, time.Now()))
+	now := time.Now()
+	if delta, complete := s.parts.Add(reply.Fleet, now); complete {
+		table := s.board.Fleet.Load()
+		s.fleet.Publish(*s.applyFleet(&table, delta, now))
+	}
 	if ratings := s.board.FleetRatings.Load(); reply.Ratings != nil && (ratings == nil || reply.Ratings.Version > ratings.Version) {
 		s.ratings.Publish(reply.Ratings)
 	}
