entry: a routed stream without progress goes on at another backend server

A stream whose backend server falls silent in the middle, or sends a comment or an empty event now and then, held its caller until the route's time limit and ended cut.

After three times the wanted pause between events without an event that has data, a stream that may be resumed goes on at another backend server, if an attempt and the budget allow it. Streams that may not be resumed are left alone, and so are slow ones whose events come.

Three specs ("a stream without progress"): the first fails without the timer, the other two guard sound streams.

--- a/server/entry/continuation_test.go
+++ b/server/entry/continuation_test.go
@@ -3,6 +3,10 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -51,3 +55,63 @@
 		})),
 	)
 })
+
+var _ = Describe("a stream without progress", func() {
+	stream := func(resumable bool) catalogue.Route {
+		return catalogue.Route{Kind: catalogue.KindStream, Resumable: resumable, MaxAttempts: 2, TargetGapMillis: 100, TimeLimitMillis: 1500}
+	}
+	// stall sends three events and then only what keeps the connection open.
+	stall := func(calls *atomic.Int64) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			if calls.Add(1) > 1 {
+				streamEvents(6, nil)(w, r)
+				return
+			}
+			streamEvents(3, nil)(w, r)
+			for r.Context().Err() == nil {
+				_, _ = io.WriteString(w, ": still here\ndata:\n\n")
+				w.(http.Flusher).Flush()
+				time.Sleep(50 * time.Millisecond)
+			}
+		}
+	}
+	withoutComments := func(body string) string { return strings.ReplaceAll(body, ": still here\ndata:\n\n", "") }
+
+	// Guards against streams that never end because a byte comes now and then.
+	It("goes on at another backend server", func() {
+		var calls atomic.Int64
+		s := newRoutedHarness(stream(true), newBackend("b1", stall(&calls)), newBackend("b2", stall(&calls)))
+		began := time.Now()
+		got := send(s.request("POST", "/r/x", "body"))
+		Expect(withoutComments(got.body)).To(Equal(sixEvents))
+		Expect(got.cut).To(BeFalse())
+		Expect(time.Since(began)).To(BeNumerically("<", time.Second), "three times the wanted pause")
+	})
+
+	It("is left to its route's time limit where no other backend server may go on with it", func() {
+		var calls atomic.Int64
+		s := newRoutedHarness(stream(false), newBackend("b1", stall(&calls)), newBackend("b2", stall(&calls)))
+		began := time.Now()
+		got := send(s.request("POST", "/r/x", "body"))
+		Expect(got.cut).To(BeTrue())
+		Expect(time.Since(began)).To(BeNumerically("~", 1500*time.Millisecond, 400*time.Millisecond))
+		Expect(calls.Load()).To(BeEquivalentTo(1))
+	})
+
+	// Guards against slow but sound streams that are cut or moved.
+	It("is not assumed when events come late", func() {
+		var calls atomic.Int64
+		serve := func(w http.ResponseWriter, r *http.Request) {
+			calls.Add(1)
+			for i := 1; i <= 6; i++ {
+				r.Header.Set("Last-Event-ID", strconv.Itoa(i-1))
+				streamEvents(1, nil)(w, r)
+				time.Sleep(200 * time.Millisecond)
+			}
+		}
+		s := newRoutedHarness(stream(true), newBackend("b1", serve), newBackend("b2", serve))
+		got := send(s.request("POST", "/r/x", "body"))
+		Expect(got.body).To(Equal(sixEvents))
+		Expect(calls.Load()).To(BeEquivalentTo(1))
+	})
+})
--- a/server/entry/dispatch.go
+++ b/server/entry/dispatch.go
@@ -43,7 +43,7 @@
 	failWrongAnswer failureKind = "crossed"
 	// failLowConfidence means that the answer was dropped in favour of a larger model, because its confidence was too low.
 	failLowConfidence failureKind = "unsure"
-	// failNoAnswer means that no byte of the answer arrived within the time allowed for the first one.
+	// failNoAnswer means that no byte of the answer arrived within the time allowed for the first one, or that a stream stalled.
 	failNoAnswer failureKind = "silent"
 )
 
@@ -156,6 +156,9 @@
 // errNoAnswer is the cancellation cause of an attempt whose backend server sent no byte of the answer in time.
 var errNoAnswer = errs.Class("silent backend server")
 
+// errStalled is the cancellation cause of an attempt whose stream made no progress for too long.
+var errStalled = errs.Class("stalled stream")
+
 // noAnswerBudgetShare is the fraction of the retry budget that may be spent on backend servers that do not answer in time.
 // Most of them are only slow, and the rest is reserved for failed attempts.
 const noAnswerBudgetShare = 0.5
@@ -167,15 +170,17 @@
 	if timeout <= 0 || x.rq.countedAttempts >= x.rq.maxAttempts() {
 		return func() {}
 	}
-	budget := x.h.routedBudget(x.rq.routed.service)
-	timer := time.AfterFunc(timeout, func() {
-		if budget.TryRetryWithinShare(time.Now(), noAnswerBudgetShare) {
-			x.cancel(errNoAnswer.New("no answer for %s", timeout))
-		}
-	})
+	timer := time.AfterFunc(timeout, func() { x.giveUp(errNoAnswer.New("no answer for %s", timeout)) })
 	return func() { timer.Stop() }
 }
 
+// giveUp cancels the attempt in favour of another one, if the retry budget covers that. The retry is taken from the budget.
+func (x *exchange) giveUp(cause error) {
+	if x.h.routedBudget(x.rq.routed.service).TryRetryWithinShare(time.Now(), noAnswerBudgetShare) {
+		x.cancel(cause)
+	}
+}
+
 // oneShotBody is a request body that can be sent only once. http.Transport silently retries requests without a body or with
 // a body that it can rewind; this type prevents that.
 type oneShotBody struct{ *bytes.Reader }
@@ -253,7 +258,7 @@
 	switch {
 	case errRestarted.Has(cause):
 		f.err, f.serverCrashed = cause, true
-	case errNoAnswer.Has(cause):
+	case errNoAnswer.Has(cause), errStalled.Has(cause):
 		f.kind, f.err = failNoAnswer, cause
 	case errors.Is(cause, context.DeadlineExceeded):
 		f.kind = failTimeout
--- a/server/entry/routed_stream.go
+++ b/server/entry/routed_stream.go
@@ -59,6 +59,50 @@
 	return ""
 }
 
+// hasData reports whether an event holds data. Comments and empty events, which a backend server may send to keep a connection
+// open, are no progress.
+func hasData(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if data, ok := bytes.CutPrefix(line, []byte("data:")); ok && len(bytes.TrimSpace(data)) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// stallFactor is the time without progress, in units of the longest wanted pause between events, after which a stream goes on at
+// another backend server. An engine that reads a long prompt pauses its streams for longer than wanted, but not for several times as long.
+const stallFactor = 3
+
+// stallTimer ends the attempt of a stream that makes no progress. Its zero value does nothing.
+type stallTimer struct {
+	timer *time.Timer
+	limit time.Duration
+}
+
+// startStallTimer starts the timer if another backend server may go on with the stream. Otherwise a slow stream is left alone until
+// the time limit of its route.
+func (x *exchange) startStallTimer() stallTimer {
+	route := x.rq.routed.route
+	limit := stallFactor * route.TargetGap()
+	if !route.Resumable || limit <= 0 || x.rq.countedAttempts >= x.rq.maxAttempts() {
+		return stallTimer{}
+	}
+	return stallTimer{time.AfterFunc(limit, func() { x.giveUp(errStalled.New("no event with data for %s", limit)) }), limit}
+}
+
+func (t stallTimer) restart() {
+	if t.timer != nil && t.timer.Stop() {
+		t.timer.Reset(t.limit)
+	}
+}
+
+func (t stallTimer) stop() {
+	if t.timer != nil {
+		t.timer.Stop()
+	}
+}
+
 // isRepeated reports whether the first event of an attempt is one that the caller has already. last is the id of the caller's last
 // event. Ids that are no numbers, and events without one, can't be compared.
 func isRepeated(last, id string) bool {
@@ -79,6 +123,8 @@
 	splitter, controller, call := &eventSplitter{reader: reader, buffered: &x.buffered}, http.NewResponseController(w), x.rq.routed
 	var first, longestPause time.Duration
 	last := x.began
+	stalled := x.startStallTimer()
+	defer stalled.stop()
 	for {
 		event, err := splitter.next()
 		if errors.Is(err, io.EOF) {
@@ -88,6 +134,9 @@
 			return x.failConnection(err)
 		}
 		x.running.touch()
+		if hasData(event) {
+			stalled.restart()
+		}
 		id := eventID(event)
 		if x.events == 0 && isRepeated(call.lastEventID, id) {
 			return x.fail(&attemptError{kind: failProtocol, err: Error.New("event %s after event %s", id, call.lastEventID)})
