controlsvc: a message that causes a panic is refused, and the process goes on

Operators of similar systems report that one malformed message took a process down. Here net/rpc runs each call in a goroutine without recover, so a panic in a method of the control service ended the leader, and its sender repeats the message to the next one. HTTP listeners recover already.

Each method turns a panic into an error of unknown outcome and logs the stack. The consensus transport stays as it is: a replica whose state is in doubt has to stop.

--- a/server/controlsvc/rpc.go
+++ b/server/controlsvc/rpc.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"time"
@@ -17,7 +18,8 @@
 )
 
 // Sync implements the RPC method of control.Client. Each replica answers it, followers too.
-func (s *Service) Sync(in *control.SyncRequest, out *control.SyncReply) error {
+func (s *Service) Sync(in *control.SyncRequest, out *control.SyncReply) (failure error) {
+	defer s.recoverCall("Sync", &failure)
 	s.Clock.Observe(in.Stamp)
 	started := s.Now()
 	// The age is read before the view, so that the view is never older than the reported age.
@@ -44,6 +46,17 @@
 	return nil
 }
 
+// recoverCall makes a panic in a method an error of the call. net/rpc would end the process, and a message that causes a panic is sent
+// again to the next leader. The outcome of the call is unknown.
+func (s *Service) recoverCall(method string, failure *error) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	s.Logger.Error("panic", "method", method, "cause", cause, "stack", string(debug.Stack()))
+	*failure = control.ErrUnavailable.New("panic in %s", method)
+}
+
 // fleetDelta returns the changes of the fleet table in the form that the sender accepts.
 func (s *Service) fleetDelta(now time.Time, in *control.SyncRequest) (control.FleetDelta, error) {
 	if in.AcceptsParts {
@@ -124,7 +137,8 @@
 }
 
 // Heartbeat implements the RPC method of control.Client. Only the leader accepts it.
-func (s *Service) Heartbeat(in *control.HeartbeatRequest, out *control.HeartbeatReply) error {
+func (s *Service) Heartbeat(in *control.HeartbeatRequest, out *control.HeartbeatReply) (failure error) {
+	defer s.recoverCall("Heartbeat", &failure)
 	if err := s.checkWrite(in.Stamp, "Instance", in.Instance, "Boot", in.Boot); err != nil {
 		return err
 	}
@@ -174,7 +188,8 @@
 
 // Announce implements the RPC method of control.Client. Only the leader accepts it. An announcement that the table refuses
 // is logged and skipped, because backend servers repeat their announcements.
-func (s *Service) Announce(in *control.AnnounceRequest, out *control.Empty) error {
+func (s *Service) Announce(in *control.AnnounceRequest, out *control.Empty) (failure error) {
+	defer s.recoverCall("Announce", &failure)
 	if err := s.checkWrite(in.Stamp); err != nil {
 		return err
 	}
@@ -192,7 +207,8 @@
 }
 
 // PinSession implements the RPC method of control.Client. Only the leader accepts it.
-func (s *Service) PinSession(in *control.PinRequest, out *control.PinReply) error {
+func (s *Service) PinSession(in *control.PinRequest, out *control.PinReply) (failure error) {
+	defer s.recoverCall("PinSession", &failure)
 	err := s.checkWrite(in.Stamp, "Workspace", in.Workspace, "Session", in.Session,
 		"Proposed.Model", in.Proposed.Model, "Proposed.Version", in.Proposed.Version)
 	if err != nil {
@@ -212,7 +228,8 @@
 }
 
 // BeginCall implements the RPC method of control.Client. Only the leader accepts it.
-func (s *Service) BeginCall(in *control.BeginCallRequest, out *control.BeginCallReply) error {
+func (s *Service) BeginCall(in *control.BeginCallRequest, out *control.BeginCallReply) (failure error) {
+	defer s.recoverCall("BeginCall", &failure)
 	err := s.checkWrite(in.Stamp, "Workspace", in.Workspace, "Key", in.Key, "Request", in.Request,
 		"BodyHash", in.BodyHash, "Instance", in.Instance, "Boot", in.Boot)
 	if err != nil {
@@ -234,7 +251,8 @@
 }
 
 // FinishCall implements the RPC method of control.Client. Only the leader accepts it.
-func (s *Service) FinishCall(in *control.FinishCallRequest, out *control.Empty) error {
+func (s *Service) FinishCall(in *control.FinishCallRequest, out *control.Empty) (failure error) {
+	defer s.recoverCall("FinishCall", &failure)
 	err := s.checkWrite(in.Stamp, "Workspace", in.Workspace, "Key", in.Key, "Request", in.Request)
 	if err != nil {
 		return err
@@ -262,7 +280,8 @@
 }
 
 // RecordBills implements the RPC method of control.Client. Only the leader accepts it.
-func (s *Service) RecordBills(in *control.RecordBillsRequest, out *control.RecordBillsReply) error {
+func (s *Service) RecordBills(in *control.RecordBillsRequest, out *control.RecordBillsReply) (failure error) {
+	defer s.recoverCall("RecordBills", &failure)
 	if err := s.checkWrite(in.Stamp, "Instance", in.Instance, "Boot", in.Boot); err != nil {
 		return err
 	}
@@ -284,7 +303,8 @@
 }
 
 // ReportCrash implements the RPC method of control.Client. Only the leader accepts it.
-func (s *Service) ReportCrash(in *control.ReportCrashRequest, out *control.ReportCrashReply) error {
+func (s *Service) ReportCrash(in *control.ReportCrashRequest, out *control.ReportCrashReply) (failure error) {
+	defer s.recoverCall("ReportCrash", &failure)
 	err := s.checkWrite(in.Stamp, "Fingerprint", in.Fingerprint, "BackendServer", in.BackendServer, "Boot of the server", in.Boot)
 	if err != nil {
 		return err
@@ -311,7 +331,8 @@
 }
 
 // ClearParts implements the RPC method of control.Client. Only the leader accepts it.
-func (s *Service) ClearParts(in *control.ClearPartsRequest, out *control.ClearPartsReply) error {
+func (s *Service) ClearParts(in *control.ClearPartsRequest, out *control.ClearPartsReply) (failure error) {
+	defer s.recoverCall("ClearParts", &failure)
 	if err := s.checkWrite(in.Stamp); err != nil {
 		return err
 	}
@@ -324,7 +345,8 @@
 }
 
 // AcquireSlot implements the RPC method of control.Client. Only the leader accepts it.
-func (s *Service) AcquireSlot(in *control.AcquireSlotRequest, out *control.AcquireSlotReply) error {
+func (s *Service) AcquireSlot(in *control.AcquireSlotRequest, out *control.AcquireSlotReply) (failure error) {
+	defer s.recoverCall("AcquireSlot", &failure)
 	err := s.checkWrite(in.Stamp, "Slot.Key", string(in.Slot.Key), "Slot.ID", in.Slot.ID, "Instance", in.Instance, "Boot", in.Boot)
 	if err != nil {
 		return err
@@ -339,7 +361,8 @@
 }
 
 // ReleaseSlot implements the RPC method of control.Client. Only the leader accepts it.
-func (s *Service) ReleaseSlot(in *control.ReleaseSlotRequest, out *control.Empty) error {
+func (s *Service) ReleaseSlot(in *control.ReleaseSlotRequest, out *control.Empty) (failure error) {
+	defer s.recoverCall("ReleaseSlot", &failure)
 	if err := s.checkWrite(in.Stamp); err != nil {
 		return err
 	}
--- a/server/controlsvc/rpc_test.go
+++ b/server/controlsvc/rpc_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -349,3 +351,29 @@
 		Expect(ok).To(BeFalse(), "a boot that has ended needs no slots")
 	})
 })
+
+// panickingNow makes each method panic that tells the time.
+func panickingNow() time.Time { panic("unexpected") }
+
+// Guards against a message that ends the process of one control leader after the other, because its sender repeats it.
+var _ = Describe("a message that causes a panic", func() {
+	calls := map[string]leaderCall{
+		"Sync": func(s *Service) error { return s.Sync(&control.SyncRequest{}, &control.SyncReply{}) },
+		"ClearParts": func(s *Service) error {
+			return s.ClearParts(&control.ClearPartsRequest{}, &control.ClearPartsReply{})
+		},
+	}
+	for name, call := range leaderMethods {
+		calls[name] = call
+	}
+	for _, name := range slices.Sorted(maps.Keys(calls)) {
+		call := calls[name]
+		It("is refused with an unknown outcome: "+name, func() {
+			b := newTestService(true)
+			b.Clock, b.Now, b.Proposer, b.batcher, b.State, b.Log = nil, panickingNow, nil, nil, nil, nil
+			var err error
+			Expect(func() { err = call(b.Service) }).NotTo(Panic())
+			Expect(control.ErrUnavailable.Has(err)).To(BeTrue(), "%v", err)
+		})
+	}
+})
