--- a/server/announce/batcher_test.go
+++ b/server/announce/batcher_test.go
@@ -69,6 +69,8 @@
 			})
 		}
 		senders.Wait()
+		leader.mu.Lock()
+		defer leader.mu.Unlock()
 		Expect(leader.announced).To(HaveLen(500))
 		Expect(leader.calls).To(BeNumerically("<=", 51), "one call in 20 ms")
 		Expect(leader.maxConcurrent).To(Equal(1))
@@ -84,6 +86,8 @@
 		b := announce.NewBatcher(leader)
 		Expect(b.Announce(context.Background(), announceRequest("a"))).To(MatchError("no leader"))
 		Expect(b.Announce(context.Background(), &control.AnnounceRequest{Leaves: []control.Leave{{ID: "b"}}})).To(Succeed())
+		leader.mu.Lock()
+		defer leader.mu.Unlock()
 		Expect(leader.left).To(Equal([]string{"b"}))
 	})
 
@@ -95,6 +99,8 @@
 			Expect(b.Announce(ctx, announceRequest("a"))).NotTo(Succeed())
 			cancel()
 		}
+		leader.mu.Lock()
+		defer leader.mu.Unlock()
 		Expect(leader.calls).To(Equal(1))
 	})
 })
