entry: reports of second copies with 32 requests in flight

640 requests on three backend servers that write copies with and without ids, and junk, before and between answers: each caller has its own answer or a failure, and what is said not to have run has not. In a first form the spec refused each "not run"; the one that it found was true, as no byte of the request had been written, so it now compares with what ran.

--- a/server/entry/extra_answers_test.go
+++ b/server/entry/extra_answers_test.go
@@ -4,8 +4,12 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -112,6 +116,62 @@
 		Entry("bytes that are no answer before the own one", idempotent, func(string) string { return "foreign foreign foreign\r\n\r\n" }, false),
 	)
 
+	It("settle none of 32 requests in flight", func() {
+		seed := uint64(GinkgoRandomSeed())
+		var mu sync.Mutex
+		rng := rand.New(rand.NewPCG(seed, 3))
+		extras := []string{
+			"", "", "", rawMessage(200, "", "", "foreign"), rawMessage(503, "", rawNotRun, ""), rawMessage(200, "earlier", "", "foreign"),
+			rawMessage(503, "earlier", rawNotRun, ""), "foreign\r\n\r\n",
+		}
+		random := func() string {
+			mu.Lock()
+			defer mu.Unlock()
+			return extras[rng.IntN(len(extras))]
+		}
+		ran := map[string]bool{}
+		faulty := rawHandler(func(n int, r *http.Request) rawAnswer {
+			mu.Lock()
+			ran[r.Header.Get("X-Number")] = true
+			mu.Unlock()
+			if n == 1 {
+				// A connection without an earlier request has no bytes of an earlier answer.
+				return rawAnswer{answer: ownAnswer(r), later: random()}
+			}
+			return rawAnswer{answer: random() + ownAnswer(r), later: random()}
+		})
+		s := newRoutedHarness(catalogue.Route{Kind: catalogue.KindIdempotent, MaxAttempts: 3, TimeLimitMillis: 10_000}, newBackend("b1", faulty), newBackend("b2", faulty), newBackend("b3", faulty))
+		var callers sync.WaitGroup
+		var answered atomic.Int64
+		var notRun []string
+		for caller := range 32 {
+			callers.Go(func() {
+				defer GinkgoRecover()
+				for i := range 20 {
+					number := fmt.Sprint("number ", caller, "/", i)
+					got := send(s.request("POST", "/r/x", "", "X-Number", number))
+					if got.status == http.StatusOK {
+						answered.Add(1)
+						Expect(got.body).To(Equal(answerTo(number)))
+						continue
+					}
+					Expect(got.body).NotTo(ContainSubstring("foreign"))
+					if strings.Contains(got.body, `"not_run":true`) {
+						mu.Lock()
+						notRun = append(notRun, number)
+						mu.Unlock()
+					}
+				}
+			})
+		}
+		callers.Wait()
+		for _, number := range notRun {
+			// Bytes that came before the request was written fail the attempt without a byte of it on the connection.
+			Expect(ran).NotTo(HaveKey(number))
+		}
+		Expect(answered.Load()).To(BeNumerically(">", 400), "of 640")
+	})
+
 	It("are not expected of a backend server that names no ids: it gets a new connection for each request", func() {
 		s := newRoutedHarness(idempotent, newBackend("b1", rawHandler(func(n int, _ *http.Request) rawAnswer {
 			return rawAnswer{answer: rawMessage(200, "", "", fmt.Sprint("answer ", n))}
