controlsvc: a spec of queued calls allows for a full batch under way

Traced by its figures: it makes three times maxBatchItems (512) calls and waits for more than two times that in the queue; on a busy machine the batch under way takes 512 of them, so that 1,024 are left for good. It makes one call more; the checks are the same.

--- a/server/controlsvc/rpc_test.go
+++ b/server/controlsvc/rpc_test.go
@@ -235,7 +235,8 @@
 		b.log.gate = make(chan struct{})
 		b.run()
 		var running sync.WaitGroup
-		errors := make([]error, 3*maxBatchItems)
+		// The batch under way may hold maxBatchItems calls.
+		errors := make([]error, 3*maxBatchItems+1)
 		for i := range errors {
 			running.Go(func() { errors[i] = b.BeginCall(beginRequest(fmt.Sprint(i), "r", "b1"), &control.BeginCallReply{}) })
 		}
