syncer: a pause when no replica answers between two parts

Found while reading the change: an instance with some parts of the fleet table asks for the next one without a pause, also when no replica answers. An instance now drops the parts after a failed call or a reply of an older revision and begins anew after its usual pause.

Two specs of the syncer; "does not ask without a pause" failed before.

--- a/server/syncer/syncer.go
+++ b/server/syncer/syncer.go
@@ -119,6 +119,8 @@
 	reply, err := s.replicas.Sync(ctx, request)
 	if err != nil {
 		s.logger.Warn("sync failed", "error", err, "view_age", current.Age(time.Now()))
+		// The next part would be asked for without a pause.
+		s.parts = fleet.Assembly{}
 		s.updateStale()
 		return
 	}
@@ -132,6 +134,7 @@
 	if reply.Revision < viewRevision(current) {
 		s.logger.Warn("sync reply has an older revision than the current view", "replica", reply.Instance, "revision", reply.Revision, "held", viewRevision(current))
 		s.replicas.SkipReplica()
+		s.parts = fleet.Assembly{}
 		return
 	}
 	confirmed := sentAt.Add(-reply.FreshAge)
--- a/server/syncer/syncer_test.go
+++ b/server/syncer/syncer_test.go
@@ -12,6 +12,7 @@
 	"clementinetray/api/control"
 	"clementinetray/api/event"
 	"clementinetray/server/blackboard"
+	"clementinetray/server/fleet"
 	"clementinetray/server/syncer"
 )
 
@@ -141,3 +142,40 @@
 		Expect(l.requests[1].RolloutTimes).To(HaveLen(1))
 	})
 })
+
+var _ = Describe("Syncer that reads the fleet table in parts", func() {
+	part := func(after, last uint32, more bool, ids ...string) *control.SyncReply {
+		r := reply(1, 0, control.View{Catalogue: &catalogue.Catalogue{}})
+		r.Fleet = control.FleetDelta{Epoch: "e", Version: 5, Full: true, After: after, LastNumber: last, More: more}
+		for _, id := range ids {
+			r.Fleet.Changed = append(r.Fleet.Changed, control.BackendServer{Announcement: control.Announcement{ID: id}})
+		}
+		return r
+	}
+	start := func(replies ...*control.SyncReply) (*replicas, *blackboard.Board, *syncer.Syncer) {
+		GinkgoHelper()
+		group, board := &replicas{replies: replies}, blackboard.New()
+		s, err := syncer.New(group, board, fleet.ApplyDelta, 6*time.Second, &recorder{}, slog.New(slog.DiscardHandler))
+		Expect(err).NotTo(HaveOccurred())
+		return group, board, s
+	}
+
+	It("puts the table in force once it has all parts, and asks for the next one at once", func() {
+		group, board, s := start(part(0, 2, true, "a", "b"), part(2, 0, false, "c"), reply(1, 0, control.View{}))
+		s.SyncOnce(context.Background())
+		Expect(board.Fleet.Load().Servers).To(BeEmpty())
+		s.SyncOnce(context.Background())
+		Expect(board.Fleet.Load().Servers).To(HaveLen(3))
+		Expect(group.requests[1].PartAfter).To(BeEquivalentTo(2))
+		Expect(group.requests[1].PartEpoch).To(Equal("e"))
+	})
+
+	It("does not ask without a pause when no replica answers between two parts (guards against instances that keep a control group busy that just starts)", func() {
+		replies := []*control.SyncReply{part(0, 2, true, "a", "b")}
+		group, _, s := start(append(replies, make([]*control.SyncReply, 100_000)...)...)
+		ctx, cancel := context.WithTimeout(context.Background(), 350*time.Millisecond)
+		defer cancel()
+		s.Run(ctx)
+		Expect(len(group.requests)).To(BeNumerically("<=", 6), "one call in 100 ms, and the first parts")
+	})
+})
