entry: a spec of second copies compares "not run" with what ran

The spec refused each "not run"; it now compares with what the backend server ran, which is the guarantee, also where nothing was odd.

--- a/server/entry/extra_answers_test.go
+++ b/server/entry/extra_answers_test.go
@@ -78,7 +78,12 @@
 	// Guards against a caller that gets the answer to another request, or is told that its request did not run although it did.
 	DescribeTable("never settle another request",
 		func(route catalogue.Route, extra func(earlierID string) string, between bool) {
+			var mu sync.Mutex
+			ran := map[string]bool{}
 			s := newRoutedHarness(route, newBackend("b1", rawHandler(func(n int, r *http.Request) rawAnswer {
+				mu.Lock()
+				ran[r.Header.Get("X-Number")] = true
+				mu.Unlock()
 				switch {
 				case between:
 					return rawAnswer{answer: ownAnswer(r), later: extra(r.Header.Get("X-Attempt-Id"))}
@@ -87,7 +92,7 @@
 				}
 				return rawAnswer{answer: ownAnswer(r)}
 			})))
-			answered := 0
+			answered, notRun := 0, []string{}
 			for i := range 6 {
 				number := fmt.Sprint("number ", i)
 				got := send(s.request("POST", "/r/x", "", "X-Number", number))
@@ -95,12 +100,21 @@
 					answered++
 					Expect(got.body).To(Equal(answerTo(number)))
 				} else {
-					Expect(got.body).NotTo(Or(ContainSubstring(`"not_run":true`), ContainSubstring("foreign")))
+					Expect(got.body).NotTo(ContainSubstring("foreign"))
+					if strings.Contains(got.body, `"not_run":true`) {
+						notRun = append(notRun, number)
+					}
 				}
 				if between {
 					time.Sleep(50 * time.Millisecond)
 				}
 			}
+			mu.Lock()
+			defer mu.Unlock()
+			for _, number := range notRun {
+				// The transport may hand out the connection that was closed for the odd bytes; no byte of the request is on it then.
+				Expect(ran).NotTo(HaveKey(number))
+			}
 			Expect(answered).To(BeNumerically(">=", 3), "a connection with odd bytes is not used again")
 		},
 		Entry("an answer with another id before the own one", idempotent, func(id string) string { return rawMessage(200, id, "", "foreign") }, false),
