controlsvc: a call made after a failed proposal was told is not failed with it

Cause: a failed proposal completed its calls first and failed the queued ones after that, so that a call which a sender made in between was failed, too. The queued ones are failed first now.

--- a/server/controlsvc/batch.go
+++ b/server/controlsvc/batch.go
@@ -68,9 +68,7 @@
 		if len(items) == 0 {
 			return
 		}
-		if err := b.commitBatch(items); replica.ErrNotLeader.Has(err) || replica.ErrOutcomeUnknown.Has(err) {
-			b.failQueued()
-		}
+		b.commitBatch(items)
 	}
 }
 
@@ -105,7 +103,7 @@
 }
 
 // commitBatch proposes the items as one command and completes each with its reply or the error.
-func (b *batcher) commitBatch(items []*batchItem) error {
+func (b *batcher) commitBatch(items []*batchItem) {
 	c := &controlstate.Command{}
 	for _, item := range items {
 		switch {
@@ -122,6 +120,10 @@
 	if err == nil && (!ok || len(out.Begins) != len(c.BeginCalls) || len(out.Bills) != len(c.BillBatches)) {
 		err = Error.New("the result for %d calls and %d batches of bills is incomplete or of an unexpected type: %T", len(c.BeginCalls), len(c.BillBatches), result)
 	}
+	if replica.ErrNotLeader.Has(err) || replica.ErrOutcomeUnknown.Has(err) {
+		// Before the items are completed: calls that their senders make after that are not failed.
+		b.failQueued()
+	}
 	beginIndex, billsIndex := 0, 0
 	for _, item := range items {
 		item.err = err
@@ -136,5 +138,4 @@
 		}
 		close(item.done)
 	}
-	return err
 }
--- a/server/controlsvc/rpc_test.go
+++ b/server/controlsvc/rpc_test.go
@@ -230,6 +230,15 @@
 		b.log.update(func() { b.log.proposeError = nil })
 		Expect(leaderMethods["BeginCall"](b.Service)).To(Succeed())
 	})
+	It("does not fail a call that came after the failed proposal was told (guards against refusals that a busy scheduler decides)", func() {
+		b := newTestService(true).run()
+		for range 2000 {
+			b.log.update(func() { b.log.proposeError = replica.ErrOutcomeUnknown.New("") })
+			Expect(leaderMethods["BeginCall"](b.Service)).NotTo(Succeed())
+			b.log.update(func() { b.log.proposeError = nil })
+			Expect(leaderMethods["BeginCall"](b.Service)).To(Succeed())
+		}
+	})
 	It("fails the queued calls at once after a failed proposal, as none of them was proposed", func() {
 		b := newTestService(true)
 		b.log.gate = make(chan struct{})
