--- a/review/standin/case_deregister.go
+++ b/review/standin/case_deregister.go
@@ -12,7 +12,7 @@
 // orderWork is how long a server works on an order.
 const orderWork = 300 * time.Millisecond
 
-// deregisterThenPowerLoss lets a server leave by Instances.Deregister. The control node that confirmed it, the leader, is killed
+// deregisterThenPowerLoss lets a server leave by a deregistration. The control node that confirmed it, the leader, is killed
 // right after its answer and stays down for 7 s.
 func deregisterThenPowerLoss(s *site) (bool, error) {
 	if err := s.begin(5, 2, "non_idempotent", []string{"desk"}, 16); err != nil {
@@ -37,13 +37,13 @@
 	leaving := s.servers[1]
 	leaving.stopBeats()
 	_, _ = leaving.beat(context.Background())
-	status, _ := call(http.MethodPost, "http://"+s.controlAddress(leader)+"/-/Instances.Deregister/"+leaving.id, map[string]any{"born": leaving.born}, time.Second)
+	status, _ := call(http.MethodPost, "http://"+s.controlAddress(leader)+names["deregister"]+leaving.id, map[string]any{"born": leaving.born}, time.Second)
 	confirmed := time.Now()
 	if s.trouble {
 		s.kill(leader)
 	}
 	killed := time.Now()
-	s.record.say("Instances.Deregister/%s at %s: %d", leaving.id, leader.name, status)
+	s.record.say("%s%s at %s: %d", names["deregister"], leaving.id, leader.name, status)
 	if status/100 != 2 {
 		return false, errors.New("the deregistration was not confirmed")
 	}
--- a/review/standin/case_orphan.go
+++ b/review/standin/case_orphan.go
@@ -67,7 +67,7 @@
 	}
 	// Everything has been calm for 16 s when the disks are lost.
 	time.Sleep(16 * time.Second)
-	if status, _ := s.operator.order(http.MethodPost, "/-/Config.Replace", manifest(2, "non_idempotent", []string{"desk"}, 16), 4*time.Second); status != http.StatusOK {
+	if status, _ := s.operator.order(http.MethodPost, names["replace"], manifest(2, "non_idempotent", []string{"desk"}, 16), 4*time.Second); status != http.StatusOK {
 		return false, errors.New("the second manifest was not accepted")
 	}
 	faultAt := time.Now()
--- a/review/standin/case_removed.go
+++ b/review/standin/case_removed.go
@@ -49,7 +49,7 @@
 		s.record.say("%s has ended and never comes back", old.name)
 	}
 	time.Sleep(removalPause)
-	if status, _ := s.operator.order(http.MethodPost, "/-/Config.Replace", manifest(2, "non_idempotent", []string{"desk"}, 16), 4*time.Second); status != http.StatusOK {
+	if status, _ := s.operator.order(http.MethodPost, names["replace"], manifest(2, "non_idempotent", []string{"desk"}, 16), 4*time.Second); status != http.StatusOK {
 		return false, errors.New("the second manifest was not accepted")
 	}
 	faultAt := time.Now()
--- a/review/standin/case_writer.go
+++ b/review/standin/case_writer.go
@@ -20,7 +20,7 @@
 	b.mu.Unlock()
 	ping["sequence"] = ping["sequence"].(int64) + 1
 	delete(ping, missing)
-	status, _ := call(http.MethodPost, "http://"+s.controls()[0]+"/-/Instances.Heartbeat/"+b.id, ping, time.Second)
+	status, _ := call(http.MethodPost, "http://"+s.controls()[0]+names["heartbeat"]+b.id, ping, time.Second)
 	s.record.say("another writer's ping for %s, without %s: %d", b.id, missing, status)
 }
 
@@ -61,7 +61,7 @@
 	return len(late) > 0, nil
 }
 
-// otherWriterWithoutCold lets another writer send a ping without the field coldRemainingMs for a server that is cold.
+// otherWriterWithoutCold lets another writer send a ping without the remaining cold time for a server that is cold.
 func otherWriterWithoutCold(s *site) (bool, error) {
 	const coldPerS, coldTime = 4.0, 3 * time.Second
 	if err := s.begin(5, 2, "non_idempotent", []string{"desk"}, coldPerS); err != nil {
@@ -85,7 +85,7 @@
 	began, end := time.Now(), fresh.coldUntil
 	time.Sleep(500 * time.Millisecond)
 	if s.trouble {
-		s.sendIncomplete(fresh, "coldRemainingMs")
+		s.sendIncomplete(fresh, names["cold time"])
 	}
 	time.Sleep(time.Until(end.Add(time.Second)))
 	arrivals, most := fresh.between(began, end), 0
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -23,7 +23,7 @@
 	var routes, described []any
 	for _, s := range services {
 		routes = append(routes, map[string]any{
-			"name": "r-" + s, "host": hostName, "pathPrefix": "/" + s + "/", "kind": kind, "timeoutMs": 1200, "targetLatencyMs": 150,
+			"name": "r-" + s, "host": hostName, names["prefix"]: "/" + s + "/", "kind": kind, "timeoutMs": 1200, names["target time"]: 150,
 			"priority": 0, "service": s, "maxAttempts": 2, "allowAnonymous": false, "sticky": false, "resumable": false,
 		})
 		described = append(described, map[string]any{
@@ -33,7 +33,7 @@
 	return map[string]any{
 		"version": version, "routes": routes, "services": described,
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []any{map[string]any{"name": "hule930", "apiKeys": []any{apiKey}, "priority": 1}},
+		"tenants": []any{map[string]any{"name": "hule930", names["keys"]: []any{apiKey}, "priority": 1}},
 	}
 }
 
@@ -65,7 +65,7 @@
 
 // readVersion returns the version of the manifest that a node gives back, 0 if none did within the limit.
 func (o *operator) readVersion(limit time.Duration) int {
-	status, text := o.order(http.MethodGet, "/-/Config.Get", nil, limit)
+	status, text := o.order(http.MethodGet, names["get"], nil, limit)
 	current := struct{ Version int }{}
 	if status != http.StatusOK || json.Unmarshal(text, &current) != nil {
 		return 0
@@ -118,8 +118,8 @@
 	url := fmt.Sprintf("http://%s/%s/x%d", l.fronts[n%len(l.fronts)], l.service, n)
 	request, _ := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader("order "+r.id))
 	request.Host = hostName
-	request.Header.Set("X-Request-Id", r.id)
-	request.Header.Set("X-Request-Deadline-Ms", fmt.Sprint(wait.Milliseconds()))
+	request.Header.Set(names["request id"], r.id)
+	request.Header.Set(names["deadline"], fmt.Sprint(wait.Milliseconds()))
 	request.Header.Set("Authorization", "Bearer "+apiKey)
 	l.record.addAt(r.sent, "client sends %s for %s to %s", r.id, l.service, l.fronts[n%len(l.fronts)])
 	if answer, err := l.client.Do(request); err == nil {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -86,7 +86,7 @@
 		return err
 	}
 	time.Sleep(2 * time.Second)
-	if status, _ := s.operator.order(http.MethodPost, "/-/Config.Replace", manifest(1, kind, services, coldPerS), 20*time.Second); status != http.StatusOK {
+	if status, _ := s.operator.order(http.MethodPost, names["replace"], manifest(1, kind, services, coldPerS), 20*time.Second); status != http.StatusOK {
 		return errors.New("the first manifest was not accepted")
 	}
 	s.record.say("the first manifest is in force")
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -14,7 +14,7 @@
 	"time"
 )
 
-// server is a stand-in for a backend server, as PROTOCOL.md describes one: it checks X-Expect-Instance, echoes the request's id
+// server is a stand-in for a backend server, as PROTOCOL.md describes one: it refuses requests for another server, echoes the request's id
 // and announces itself about every heartbeat.
 type server struct {
 	id, service, zone, address string
@@ -38,9 +38,8 @@
 
 // arrival is a request that reached the server.
 type arrival struct {
-	at     time.Time
-	id     string
-	tenant string
+	at time.Time
+	id string
 }
 
 func startServer(rec *record, id, service, zone, ip string, work, cold time.Duration, controls func() []string) (*server, error) {
@@ -76,21 +75,21 @@
 
 func (s *server) serve(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/health" {
-		w.Header().Set("X-Instance-Id", s.id)
+		w.Header().Set(names["server id"], s.id)
 		return
 	}
-	id := r.Header.Get("X-Request-Id")
+	id := r.Header.Get(names["request id"])
 	body, _ := io.ReadAll(r.Body)
-	w.Header().Set("X-Request-Id", id)
-	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != s.id {
-		w.Header().Set("X-Not-Executed", "1")
+	w.Header().Set(names["request id"], id)
+	if expected := r.Header.Get(names["expected server"]); expected != "" && expected != s.id {
+		w.Header().Set(names["not run"], "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		s.record.add("server %s answers 421 to %s", s.id, id)
 		return
 	}
 	now := time.Now()
 	s.mu.Lock()
-	s.arrivals = append(s.arrivals, arrival{at: now, id: id, tenant: r.Header.Get("X-Tenant")})
+	s.arrivals = append(s.arrivals, arrival{at: now, id: id})
 	n := len(s.arrivals)
 	s.mu.Unlock()
 	s.record.addAt(now, "server %s runs %s, %s %s, %d bytes", s.id, id, r.Method, r.URL.RequestURI(), len(body))
@@ -103,7 +102,7 @@
 		s.record.add("the run of %s at %s is cut", id, s.id)
 		return
 	}
-	w.Header().Set("X-Response-Stamp", s.id+"."+strconv.Itoa(n))
+	w.Header().Set(names["stamp"], s.id+"."+strconv.Itoa(n))
 	_, _ = fmt.Fprintf(w, "%s ran %s\n", s.id, id)
 }
 
@@ -145,7 +144,7 @@
 	s.sequence++
 	s.last = map[string]any{
 		"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": 64, "state": s.state,
-		"coldRemainingMs": s.cold(), "sequence": s.sequence, "born": s.born, "stage": "prefill_decode", "models": []any{},
+		names["cold time"]: s.cold(), "sequence": s.sequence, "born": s.born, "stage": "prefill_decode", "models": []any{},
 	}
 	return s.last
 }
@@ -159,8 +158,8 @@
 		if ctx.Err() != nil {
 			return time.Time{}, false
 		}
-		status, _ := call(http.MethodPost, "http://"+address+"/-/Instances.Heartbeat/"+s.id, body, time.Second)
-		s.record.add("heartbeat of %s, state %s, cold %v, sequence %v, to %s: %d", s.id, body["state"], body["coldRemainingMs"], body["sequence"], address, status)
+		status, _ := call(http.MethodPost, "http://"+address+names["heartbeat"]+s.id, body, time.Second)
+		s.record.add("heartbeat of %s, state %s, cold %v, sequence %v, to %s: %d", s.id, body["state"], body[names["cold time"]], body["sequence"], address, status)
 		if status/100 == 2 {
 			return time.Now(), true
 		}
