replica: a voter that was removed while it was suspended joins again

Seen: after a planned replacement during which another replica was suspended for 4 s, the loss of two disks 16 s later ended the control group for good; all requests were refused and the confirmed catalogue could not be read back. Cause: the leader removes the silent voter above the group's size, which is the suspended one. Its own log still names it as a voter, so it sent no join requests, and members that have a leader ignore its vote requests. The replaced replica stayed a dead voter in its place. Change: a voter that knows no leader sends join requests as well, to the members of its own log. Only a leader that can commit answers; a voter stays one, a removed node is added as a learner, catches up and is promoted, after which the dead voter is the silent one above the group's size. Its old log can't elect it: a majority of that membership overlaps each majority that committed the removal.

--- a/server/replica/join_test.go
+++ b/server/replica/join_test.go
@@ -94,3 +94,23 @@
 		}
 	}
 }
+
+// Guards against a voter that is removed while it is silent and never joins again: the group then keeps a dead voter in its place.
+func TestVoterRemovedWhileSilentJoinsAgain(t *testing.T) {
+	c := newCluster(t, 3, withGroupSize(3))
+	c.propose("a")
+	c.awaitSameCommands(1)
+	c.add("c4")
+	c.eventually("the successor is a voter", func() bool { return c.voters()["c4"] })
+	c.kill("c2")
+	c.eventually("the silent voter is removed", func() bool { return !c.voters()["c2"] })
+	c.kill("c3")
+	c.restart("c2")
+	c.eventually("the removed voter is a voter again, and the dead one is not", func() bool {
+		v := c.voters()
+		return len(v) == 3 && v["c2"] && v["c4"] && !v["c3"]
+	})
+	c.kill("c1")
+	c.propose("b")
+	c.awaitSameCommands(2)
+}
--- a/server/replica/membership.go
+++ b/server/replica/membership.go
@@ -260,12 +260,15 @@
 	}
 }
 
-// runJoinLoop tries to create the group or to join it, repeatedly while this replica is not a voter, until the replica
-// stops.
+// runJoinLoop tries to create the group or to join it, repeatedly until the replica stops, while this replica is not a voter or
+// knows no leader. A voter without a leader may have been removed while it was suspended or cut off: the log that would tell it
+// so is sent to members only, and the members ignore its vote requests.
 func (r *Replica) runJoinLoop() {
 	for {
-		if !r.isVoter() && !r.tryBootstrap() {
-			r.sendJoinRequests()
+		switch voter, addresses := r.ownMembership(); {
+		case voter && r.leadership.Load().LeaderID != "":
+		case voter || !r.tryBootstrap():
+			r.sendJoinRequests(addresses)
 		}
 		select {
 		case <-r.stopping:
@@ -287,20 +290,21 @@
 // joinRequestsPerBootstrapWait is the number of join requests that a replica sends during BootstrapWait.
 const joinRequestsPerBootstrapWait = 6
 
-func (r *Replica) isVoter() bool {
-	voter := make(chan bool, 1)
-	err := r.enqueue(func() {
-		member, _ := r.node.Members().Find(r.nodeID)
-		voter <- member.Voter
-	})
-	if err != nil {
-		return false
+// ownMembership reports whether this replica is a voter by its own log, and returns the addresses of the members in that log.
+func (r *Replica) ownMembership() (voter bool, addresses []string) {
+	collected := make(chan raft.Membership, 1)
+	if r.enqueue(func() { collected <- r.node.Members() }) != nil {
+		return false, nil
 	}
 	select {
-	case v := <-voter:
-		return v
+	case members := <-collected:
+		own, _ := members.Find(r.nodeID)
+		for _, m := range members {
+			addresses = append(addresses, m.Address)
+		}
+		return own.Voter, addresses
 	case <-r.stopping:
-		return false
+		return false, nil
 	}
 }
 
@@ -389,14 +393,14 @@
 	return nil
 }
 
-// sendJoinRequests sends a join request to all known replicas; only the leader accepts it.
-func (r *Replica) sendJoinRequests() {
+// sendJoinRequests sends a join request to the given addresses and all others that are known; only the leader accepts it.
+func (r *Replica) sendJoinRequests(members []string) {
 	addresses := map[string]bool{}
 	for _, address := range r.cfg.Members {
 		addresses[address] = true
 	}
-	for _, m := range r.status.Load().Members {
-		addresses[m.Address] = true
+	for _, address := range members {
+		addresses[address] = true
 	}
 	delete(addresses, r.cfg.Address)
 	for _, address := range r.cfg.JoinAddresses() {
