replica: a planned stop above the group's size gives up the vote

Seen: two disks lost one second after a replaced control instance had stopped as planned ended the control group for good. Cause: a planned stop transferred leadership and told the group nothing else. The stopped replica stayed one of six voters until it had been silent for 3 s, so that four of five live ones were needed. Change: a stopping replica announces itself to the leader. Above the group's size the leader removes it and answers once the change is committed; at the group's size it stays a voter, because it may be restarted, and is the first to be replaced. The stop waits two election timeouts at most. A removed replica that is started again joins again by itself.

--- a/server/replica/membership.go
+++ b/server/replica/membership.go
@@ -179,7 +179,9 @@
 			return
 		}
 	}
-	if surplus, ok := r.surplusMember(members, time.Now()); ok {
+	now := time.Now()
+	r.dropOldDepartures(members, now)
+	if surplus, ok := r.surplusMember(members, now); ok {
 		r.cfg.Logger.Info("silent_voter_leaves", "node", surplus.Node, "voters", members.VoterCount(), "group_size", r.cfg.GroupSize)
 		_, _ = r.proposeMembership(members.Without(surplus.Node))
 	}
@@ -196,7 +198,8 @@
 
 // surplusMember returns the member that has been unresponsive for the longest time; false if there is none, the time is
 // less than UnresponsiveTimeout, or the group has no GroupSize. It considers all learners, and voters only when the group
-// has more voters than its GroupSize.
+// has more voters than its GroupSize. A member that announced its stop counts as unresponsive for UnresponsiveTimeout as soon
+// as it does not respond.
 func (r *Replica) surplusMember(members raft.Membership, now time.Time) (raft.Member, bool) {
 	var longest raft.Member
 	var since time.Time
@@ -211,7 +214,11 @@
 		if m.Voter && members.VoterCount() <= r.cfg.GroupSize {
 			continue
 		}
-		if start := r.unresponsiveSince[m.Node]; since.IsZero() || start.Before(since) {
+		start := r.unresponsiveSince[m.Node]
+		if _, announced := r.departures[m.Node]; announced {
+			start = start.Add(-r.cfg.UnresponsiveTimeout)
+		}
+		if since.IsZero() || start.Before(since) {
 			longest, since = m, start
 		}
 	}
@@ -266,6 +273,7 @@
 func (r *Replica) runJoinLoop() {
 	for {
 		switch voter, addresses := r.ownMembership(); {
+		case r.departing.Load():
 		case voter && r.leadership.Load().LeaderID != "":
 		case voter || !r.tryBootstrap():
 			r.sendJoinRequests(addresses)
--- a/server/replica/replica.go
+++ b/server/replica/replica.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -70,6 +71,9 @@
 	inboundMu sync.Mutex // guards inbound
 	inbound   map[raft.NodeID]*inboundCalls
 
+	// departing is set when a planned stop begins. From then on this replica does not ask to join.
+	departing atomic.Bool
+
 	// The fields below are used by the goroutine of the raft loop only.
 	node    *raft.Node
 	storage *storage
@@ -87,6 +91,9 @@
 	lastTick      time.Time
 	// unresponsiveSince holds, for each member that does not respond to this leader, the time at which this was detected.
 	unresponsiveSince map[raft.NodeID]time.Time
+	// departures holds, for each member that announced its planned stop to this leader and was not removed, the time of the
+	// announcement.
+	departures map[raft.NodeID]time.Time
 	// joinRequests holds the requests of replicas that asked to join before the group was created, by replica id.
 	joinRequests map[string]JoinArgs
 	// Index and term of the last entry passed to the apply loop.
@@ -129,7 +136,7 @@
 func newReplica(cfg Config, storage *storage, recovered recovery) (*Replica, error) {
 	r := &Replica{
 		cfg: cfg, nodeID: storage.identity.nodeID(), freshness: newFreshness(), applier: newApplier(cfg.StateMachine),
-		startedAt: time.Now(), unresponsiveSince: map[raft.NodeID]time.Time{}, joinRequests: map[string]JoinArgs{},
+		startedAt: time.Now(), unresponsiveSince: map[raft.NodeID]time.Time{}, departures: map[raft.NodeID]time.Time{}, joinRequests: map[string]JoinArgs{},
 		tasks: make(chan func(), taskQueueLength), appliedSignal: make(chan struct{}, 1),
 		stopping: make(chan struct{}), done: make(chan struct{}),
 		leadership: blackboard.NewSection(Leadership{}), status: blackboard.NewSection(Status{ID: cfg.ID, Node: string(storage.identity.nodeID())}),
@@ -233,9 +240,10 @@
 	return r.err
 }
 
-// Stop stops the replica and unlocks the data folder. A leader first transfers leadership; if ctx ends during the transfer,
-// the replica stops all the same. Stop returns the result of Err, or the error of ctx if ctx ends before the replica has
-// stopped.
+// Stop stops the replica and unlocks the data folder. A leader first transfers leadership, and a replica of a group with a
+// GroupSize announces its stop to the leader, which removes it if it has more voters than that. If ctx ends or neither
+// succeeds in time, the replica stops all the same. Stop returns the result of Err, or the error of ctx if ctx ends before
+// the replica has stopped.
 func (r *Replica) Stop(ctx context.Context) error {
 	if r.leadership.Load().Leader && len(r.status.Load().Members) > 1 {
 		transfer, cancel := context.WithTimeout(ctx, 2*r.cfg.ElectionTimeout)
@@ -244,6 +252,7 @@
 		}
 		cancel()
 	}
+	r.depart(ctx)
 	r.signalStop()
 	select {
 	case <-r.done:
