controlsvc: the departure of a backend server is recorded before it is acknowledged

Seen: orders went to a backend server 3 to 4 s after its deregistration was acknowledged, and were cut when it exited. Cause: the leader acknowledged from its memory; record and copies followed up to 250 ms later. The next leader had the server in service, and the server said nothing more. Four related gaps: the record had no deregistrations and no sequence of the change (a delayed announcement returned the server to service), did not change rows that the new leader had copied, and was read after the new leader began to answer. Without a commit in 700 ms the answer is an error, in time for the server to ask another process. A new leader merges the record into its table before it serves.

--- a/server/controlstate/command.go
+++ b/server/controlstate/command.go
@@ -85,10 +85,18 @@
 // service's latest order or if that roll-out has ended. Its result is nil.
 type AdvanceServiceRollout struct{ Progress control.ServiceRollout }
 
+// RecordedServer is what the state holds of one start of a backend server. Sequence is that of the announcement which made the
+// last recorded change; earlier ones may still arrive and are out of date.
+type RecordedServer struct {
+	control.Announcement
+	// Deregistered is true once this start has deregistered.
+	Deregistered bool `json:",omitempty"`
+}
+
 // RecordServers records (Put) and removes (Remove, by id) the announcements of backend servers, so that a new leader has
 // them before the servers announce themselves again. Its result is nil.
 type RecordServers struct {
-	Put    []control.Announcement
+	Put    []RecordedServer
 	Remove []string
 }
 
--- a/server/controlstate/numbered_test.go
+++ b/server/controlstate/numbered_test.go
@@ -133,12 +133,12 @@
 	// Guards against a control group that has no backend servers after a power loss.
 	It("are kept across a snapshot until they are removed", func() {
 		d := newDriver()
-		d.apply(Command{RecordServers: &RecordServers{Put: []control.Announcement{{ID: "s1"}, {ID: "s2"}}}})
+		d.apply(Command{RecordServers: &RecordServers{Put: []RecordedServer{{Announcement: control.Announcement{ID: "s1"}}, {Announcement: control.Announcement{ID: "s2"}, Deregistered: true}}}})
 		d.apply(Command{RecordServers: &RecordServers{Remove: []string{"s1"}}})
 		data, err := d.state.Snapshot()
 		Expect(err).NotTo(HaveOccurred())
 		d.state = New()
 		Expect(d.state.Restore(data)).To(Succeed())
-		Expect(d.state.Servers()).To(Equal([]control.Announcement{{ID: "s2"}}))
+		Expect(d.state.Servers()).To(Equal([]RecordedServer{{Announcement: control.Announcement{ID: "s2"}, Deregistered: true}}))
 	})
 })
--- a/server/controlstate/snapshot.go
+++ b/server/controlstate/snapshot.go
@@ -33,7 +33,7 @@
 	ServiceRollout []named[control.ServiceRollout]
 	QuarantineMod  uint64
 	Phases         []named[PhaseRecord]
-	Servers        []named[control.Announcement]
+	Servers        []named[RecordedServer]
 	Fence          Fence
 	Results        records[firstResult]
 	Sessions       packed
--- a/server/controlstate/state.go
+++ b/server/controlstate/state.go
@@ -142,7 +142,7 @@
 	rollouts             *control.Rollouts
 	quarantine           *control.Quarantine
 	phases               map[string]PhaseRecord
-	servers              map[string]control.Announcement
+	servers              map[string]RecordedServer
 	fence                Fence
 	firstResults         *table[firstResult]
 	sessions             *table[unique.Handle[catalogue.VersionRef]]
@@ -167,7 +167,7 @@
 	s.rollouts = &control.Rollouts{ModRevision: 1, Progress: map[string]control.RolloutProgress{}, Services: map[string]control.ServiceRollout{}}
 	s.quarantine = &control.Quarantine{ModRevision: 1, Crashes: map[string]int{}}
 	s.phases = map[string]PhaseRecord{}
-	s.servers = map[string]control.Announcement{}
+	s.servers = map[string]RecordedServer{}
 	s.fence = Fence{}
 	s.firstResults = newTable[firstResult](MaxRequestIDs)
 	s.sessions = newTable[unique.Handle[catalogue.VersionRef]](MaxSessions)
@@ -230,11 +230,19 @@
 	return maps.Clone(s.phases)
 }
 
-// Servers returns the recorded announcements, ordered by id.
-func (s *State) Servers() []control.Announcement {
+// Server returns what is recorded of a backend server, and false when nothing is.
+func (s *State) Server(id string) (RecordedServer, bool) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	out := make([]control.Announcement, 0, len(s.servers))
+	r, ok := s.servers[id]
+	return r, ok
+}
+
+// Servers returns the recorded backend servers, ordered by id.
+func (s *State) Servers() []RecordedServer {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	out := make([]RecordedServer, 0, len(s.servers))
 	for _, id := range slices.Sorted(maps.Keys(s.servers)) {
 		out = append(out, s.servers[id])
 	}
--- a/server/controlsvc/contract.go
+++ b/server/controlsvc/contract.go
@@ -51,6 +51,8 @@
 	// instances have backend servers during a leader change.
 	Reset(now time.Time, epoch string)
 	Announce(now time.Time, a control.Announcement) error
+	// AddRecordedServers adds the recorded backend servers to the table of a new leader and returns how many rows changed.
+	AddRecordedServers(now time.Time, recorded []controlstate.RecordedServer) int
 	// MarkLeaving marks one boot of a backend server as permanently leaving.
 	MarkLeaving(now time.Time, l control.Leave)
 	// MarkSaysLeaving marks a boot of a backend server as leaving until its next announcements say otherwise.
@@ -69,6 +71,13 @@
 	Server(now time.Time, id string) (control.BackendServer, bool)
 }
 
+// ServerRecorder makes changes of the fleet table durable. fleet.Recorder implements it.
+type ServerRecorder interface {
+	// AwaitRecorded waits until the given backend servers are recorded as the table has them now, and reports whether it had to
+	// wait.
+	AwaitRecorded(ctx context.Context, ids []string) (waited bool, err error)
+}
+
 // RatingTable holds the quality estimates of the fleet. It is safe for concurrent use. ratings.Store implements it.
 type RatingTable interface {
 	// TableIfNewer returns the table, or nil if it is not newer than the given version.
--- /dev/null
+++ b/server/controlsvc/departures_test.go
@@ -0,0 +1,132 @@
+package controlsvc
+
+import (
+	"log/slog"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"clementinetray/api/control"
+	"clementinetray/server/controlstate"
+	"clementinetray/server/fleet"
+)
+
+// newFleetService returns a running leader with a real fleet table and its recorder.
+func newFleetService() (*testService, *fleet.Table) {
+	table := fleet.NewTable()
+	b := newTestService(true, func(c *Config) {
+		recorder := fleet.NewRecorder(table, c.State, c.Proposer, slog.New(slog.DiscardHandler))
+		c.FleetTable, c.ServerRecorder, c.LeaderControllers, c.Now = table, recorder, []LeaderController{recorder}, time.Now
+	})
+	return b.run(), table
+}
+
+func serverAnnouncement(started, sequence int64) control.Announcement {
+	return control.Announcement{
+		ID: "s", Boot: time.UnixMilli(started).String(), Address: "127.0.0.1:80", AvailabilityZone: "a", Service: "desk",
+		SoftwareVersion: "v1", Capacity: 8, Started: started, Sequence: sequence, StatesCold: true,
+	}
+}
+
+// nextLeader returns the table of a replica that copied the given one and then became the leader with the state.
+func nextLeader(copied *fleet.Table, state *controlstate.State) *fleet.Table {
+	next := fleet.NewTable()
+	next.LoadDelta(time.Now(), copied.Delta(time.Now(), "", 0))
+	next.Reset(time.Now(), fleet.Epoch(2))
+	next.AddRecordedServers(time.Now(), state.Servers())
+	return next
+}
+
+var _ = Describe("acknowledged announcements", func() {
+	var b *testService
+	var table, copied *fleet.Table
+	announce := func(a control.Announcement) error {
+		return b.Announce(&control.AnnounceRequest{Announcements: []control.Announcement{a}}, &control.Empty{})
+	}
+	leave := func(started int64) error {
+		return b.Announce(&control.AnnounceRequest{Leaves: []control.Leave{{ID: "s", Started: started}}}, &control.Empty{})
+	}
+	BeforeEach(func() {
+		b, table = newFleetService()
+		Expect(announce(serverAnnouncement(1, 1))).To(Succeed())
+		copied = fleet.NewTable()
+		copied.LoadDelta(time.Now(), table.Delta(time.Now(), "", 0))
+	})
+
+	// Guards against new requests to a backend server whose departure was acknowledged by a leader that is lost right after.
+	DescribeTable("are known to the next leader, whose copy of the table is older", func(depart func() error) {
+		Expect(depart()).To(Succeed())
+		next := nextLeader(copied, b.log.state)
+		row, _ := next.Server(time.Now(), "s")
+		Expect(row.Leaving).To(BeTrue())
+		Expect(row.Phase).To(Equal(control.PhaseLeaving))
+	},
+		Entry("deregistration", func() error { return leave(1) }),
+		Entry("deregistration without a start", func() error { return leave(0) }),
+		Entry("announcement that it leaves", func() error {
+			a := serverAnnouncement(1, 2)
+			a.Leaving = true
+			return announce(a)
+		}),
+	)
+
+	It("keep a deregistered server out of service when a late announcement reaches the next leader", func() {
+		Expect(leave(1)).To(Succeed())
+		next := nextLeader(copied, b.log.state)
+		Expect(next.Announce(time.Now(), serverAnnouncement(1, 3))).To(Succeed())
+		row, _ := next.Server(time.Now(), "s")
+		Expect(row.Leaving).To(BeTrue())
+	})
+
+	// Guards against a delayed announcement that returns a server to service at a leader whose copy is older than both.
+	It("keep a server that leaves out of service when an announcement from before that arrives late", func() {
+		a := serverAnnouncement(1, 5)
+		a.Leaving = true
+		Expect(announce(a)).To(Succeed())
+		next := nextLeader(copied, b.log.state)
+		Expect(fleet.ErrStaleBoot.Has(next.Announce(time.Now(), serverAnnouncement(1, 4)))).To(BeTrue())
+		row, _ := next.Server(time.Now(), "s")
+		Expect(row.Leaving).To(BeTrue())
+		Expect(next.Announce(time.Now(), serverAnnouncement(1, 6))).To(Succeed())
+		row, _ = next.Server(time.Now(), "s")
+		Expect(row.Leaving).To(BeFalse())
+	})
+
+	It("don't bind a later start under the same id", func() {
+		Expect(leave(1)).To(Succeed())
+		Expect(announce(serverAnnouncement(2, 1))).To(Succeed())
+		row, _ := nextLeader(copied, b.log.state).Server(time.Now(), "s")
+		Expect(row.Started).To(BeEquivalentTo(2))
+		Expect(row.Leaving).To(BeFalse())
+	})
+
+	It("acknowledge a repeated deregistration again", func() {
+		Expect(leave(1)).To(Succeed())
+		Expect(leave(1)).To(Succeed())
+	})
+
+	// Guards against a promise that only the memory of a leader without a quorum holds, and against an answer that comes too late for
+	// the server to ask another process.
+	It("fail in time while nothing can be recorded, also when they are repeated", func() {
+		b.log.update(func() { b.log.gate = make(chan struct{}) })
+		began := time.Now()
+		Expect(control.ErrUnavailable.Has(leave(1))).To(BeTrue())
+		Expect(control.ErrUnavailable.Has(leave(1))).To(BeTrue())
+		a := serverAnnouncement(1, 2)
+		a.Leaving = true
+		Expect(control.ErrUnavailable.Has(announce(a))).To(BeTrue())
+		Expect(time.Since(began)).To(BeNumerically("<", 3*time.Second))
+		close(b.log.gate)
+		Expect(leave(1)).To(Succeed())
+	})
+
+	// Guards against heartbeats that wait for a sync although they change nothing.
+	It("don't wait while nothing changes but load", func() {
+		b.log.update(func() { b.log.gate = make(chan struct{}) })
+		defer close(b.log.gate)
+		a := serverAnnouncement(1, 2)
+		a.Running, a.ColdMillis = 3, 500
+		Expect(announce(a)).To(Succeed())
+	})
+})
--- a/server/controlsvc/fakes_test.go
+++ b/server/controlsvc/fakes_test.go
@@ -227,6 +227,13 @@
 	return nil
 }
 
+func (t *fakeTable) AddRecordedServers(time.Time, []controlstate.RecordedServer) int { return 0 }
+
+// fakeServerRecorder has recorded everything.
+type fakeServerRecorder struct{}
+
+func (fakeServerRecorder) AwaitRecorded(context.Context, []string) (bool, error) { return false, nil }
+
 func (t *fakeTable) put(b control.BackendServer) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -389,7 +396,7 @@
 	}
 	b.log.leadership.Since = b.clock.now.Add(-time.Hour)
 	c := Config{
-		Log: b.log, State: b.log.state, Proposer: NewProposer(b.log), Allocator: b.allocator, FleetTable: b.table, Ratings: ratings.NewStore(b.log.state),
+		Log: b.log, State: b.log.state, Proposer: NewProposer(b.log), Allocator: b.allocator, FleetTable: b.table, ServerRecorder: fakeServerRecorder{}, Ratings: ratings.NewStore(b.log.state),
 		OutcomeSinks: []OutcomeSink{b.sink}, Recorder: b.recorder, Clock: &event.Clock{},
 		Peers:    callerFunc(func(string, string, any, any) error { return Error.New("unreachable") }),
 		Identity: controlclient.Identity{Instance: "c1", Boot: "cb"}, PeerAddress: "self:1",
--- a/server/controlsvc/rpc.go
+++ b/server/controlsvc/rpc.go
@@ -186,8 +186,13 @@
 	return nil
 }
 
+// recordTimeout bounds the wait for the record of announcements. Backend servers wait one second for the answer and then ask
+// another process.
+const recordTimeout = 700 * time.Millisecond
+
 // Announce implements the RPC method of control.Client. Only the leader accepts it. An announcement that the table refuses
-// is logged and skipped, because backend servers repeat their announcements.
+// is logged and skipped, because backend servers repeat their announcements. Announce returns nil once the next leader would
+// know of each start and departure in the request: a server that leaves may not say so again.
 func (s *Service) Announce(in *control.AnnounceRequest, out *control.Empty) (failure error) {
 	defer s.recoverCall("Announce", &failure)
 	if err := s.checkWrite(in.Stamp); err != nil {
@@ -202,10 +207,35 @@
 	for _, l := range in.Leaves {
 		s.FleetTable.MarkLeaving(now, l)
 	}
+	if err := s.awaitRecorded(in); err != nil {
+		return err
+	}
 	out.Meta = s.newMeta()
 	return nil
 }
 
+// awaitRecorded waits until the backend servers in the request are recorded. Refused announcements count too: they may repeat one
+// whose record was not confirmed in time.
+func (s *Service) awaitRecorded(in *control.AnnounceRequest) error {
+	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+	defer cancel()
+	ids := make([]string, 0, len(in.Announcements)+len(in.Leaves))
+	for _, a := range in.Announcements {
+		ids = append(ids, a.ID)
+	}
+	for _, l := range in.Leaves {
+		ids = append(ids, l.ID)
+	}
+	waited, err := s.ServerRecorder.AwaitRecorded(ctx, ids)
+	if err != nil {
+		return control.ErrUnavailable.Wrap(err)
+	}
+	if waited || len(in.Leaves) > 0 {
+		return s.awaitCopies(ctx)
+	}
+	return nil
+}
+
 // PinSession implements the RPC method of control.Client. Only the leader accepts it.
 func (s *Service) PinSession(in *control.PinRequest, out *control.PinReply) (failure error) {
 	defer s.recoverCall("PinSession", &failure)
--- a/server/controlsvc/service.go
+++ b/server/controlsvc/service.go
@@ -53,6 +53,7 @@
 	Proposer          Proposer
 	Allocator         Allocator
 	FleetTable        FleetTable
+	ServerRecorder    ServerRecorder
 	Ratings           RatingTable
 	OutcomeSinks      []OutcomeSink
 	ServiceRollouts   ServiceRolloutSink
@@ -160,6 +161,9 @@
 	s.Allocator.Reset(now)
 	s.members.reset()
 	s.FleetTable.Reset(now, fleet.Epoch(l.Term))
+	recorded := s.State.Servers()
+	changed := s.FleetTable.AddRecordedServers(now, recorded)
+	s.Logger.Info("fleet_seeded", "recorded", len(recorded), "changed", changed)
 	s.readyTerm.Store(l.Term)
 	s.Logger.Info("leadership gained", "term", l.Term, "revision", s.State.View().Revision)
 	s.Recorder.Record(event.Event{Kind: "leadership_gained", Detail: map[string]string{"term": fmt.Sprint(l.Term)}})
--- a/server/daemon/control.go
+++ b/server/daemon/control.go
@@ -157,7 +157,7 @@
 	pool *peer.Pool, identity controlclient.Identity, logger *slog.Logger,
 ) *controlsvc.Service {
 	return controlsvc.New(controlsvc.Config{
-		Log: replicatedLog, State: state, Proposer: proposer, Allocator: allocator, FleetTable: table, Ratings: fleetRatings,
+		Log: replicatedLog, State: state, Proposer: proposer, Allocator: allocator, FleetTable: table, ServerRecorder: fleetRecorder, Ratings: fleetRatings,
 		OutcomeSinks:      []controlsvc.OutcomeSink{lifecycles, modelRollouts, serviceRollouts, fleetRatings},
 		ServiceRollouts:   serviceRollouts,
 		LeaderControllers: []controlsvc.LeaderController{lifecycles, modelRollouts, serviceRollouts, fleetRatings, engineOrders, fleetRecorder},
--- a/server/fleet/contract.go
+++ b/server/fleet/contract.go
@@ -25,6 +25,9 @@
 const (
 	// AnnouncementTTL is how long a backend server stays in the table without an announcement.
 	AnnouncementTTL = 8 * time.Second
+	// DepartureTTL is how long the deregistration of a start is kept that has not announced itself. Announcements may arrive seconds
+	// late.
+	DepartureTTL = 30 * time.Second
 	// SilentAfter is the age of the last announcement at which a backend server counts as silent. A server that announces
 	// itself about once a second has then missed three announcements.
 	SilentAfter = 4 * time.Second
--- a/server/fleet/start_announcement_test.go
+++ b/server/fleet/start_announcement_test.go
@@ -120,6 +120,15 @@
 		Expect(row("s").Phase).To(Equal(control.PhaseInService))
 	})
 
+	// Guards against new requests to a backend server whose announcement was delayed until after its deregistration.
+	It("stay leaving when they deregistered before their first announcement arrived", func() {
+		table.MarkLeaving(now, control.Leave{ID: "s", Started: 1})
+		Expect(table.Announce(now, announcementWithStart("s", 1, 1))).To(Succeed())
+		Expect(row("s").Leaving).To(BeTrue())
+		Expect(table.Announce(now, announcementWithStart("s", 2, 1))).To(Succeed())
+		Expect(row("s").Leaving).To(BeFalse())
+	})
+
 	It("ignore a deregistration of an earlier start", func() {
 		Expect(table.Announce(now, announcementWithStart("s", 2, 1))).To(Succeed())
 		table.MarkLeaving(now, control.Leave{ID: "s", Started: 1})
@@ -182,7 +191,11 @@
 // fakeReplica applies commands directly to a state, without a replicated log.
 type fakeReplica struct{ state *controlstate.State }
 
-func (r *fakeReplica) Servers() []control.Announcement { return r.state.Servers() }
+func (r *fakeReplica) Servers() []controlstate.RecordedServer { return r.state.Servers() }
+
+func (r *fakeReplica) Server(id string) (controlstate.RecordedServer, bool) {
+	return r.state.Server(id)
+}
 
 func (r *fakeReplica) ProposeCommand(_ context.Context, c *controlstate.Command) (any, error) {
 	data, err := c.Encode()
--- a/server/fleet/table.go
+++ b/server/fleet/table.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -31,7 +32,10 @@
 	members        map[string]*member
 	membersVersion uint64
 	// leftMembers and trimmedMembersVersion are for entry instances what tombstones and trimmedVersion are for rows.
-	leftMembers           []tombstone
+	leftMembers []tombstone
+	// departures holds the deregistrations of starts that had not announced themselves yet, by server id. A late announcement
+	// of such a start must not put it into service.
+	departures            map[string]departure
 	trimmedMembersVersion uint64
 	// partRows is the largest number of rows in one part of a delta. fullParts holds the parts of the whole table that were made last.
 	partRows  int
@@ -57,11 +61,19 @@
 	prefixesReplacedAt time.Time
 	// saysLeavingAt is when an entry instance reported that the backend server says that it leaves; zero if none has.
 	saysLeavingAt time.Time
-	pastBoots     []string
+	// minSequence is the sequence of the last recorded change of this start; announcements before it are late.
+	minSequence int64
+	pastBoots   []string
 	// Table versions of the last change of the row, of its load and of its prefix hashes.
 	changedIn, loadIn, hashesIn uint64
 }
 
+// departure is the deregistration of a start.
+type departure struct {
+	started   int64
+	expiresAt time.Time
+}
+
 // tombstone records a removed row or member, so that the removal is sent to readers of an older version.
 type tombstone struct {
 	id      string
@@ -77,7 +89,7 @@
 
 // NewTable returns an empty table without an epoch.
 func NewTable() *Table {
-	return &Table{rows: map[string]*row{}, members: map[string]*member{}, partRows: maxPartRows}
+	return &Table{rows: map[string]*row{}, departures: map[string]departure{}, members: map[string]*member{}, partRows: maxPartRows}
 }
 
 // epochPrefix is the prefix of the epochs that Epoch returns.
@@ -126,7 +138,7 @@
 	}
 	r := t.rows[a.ID]
 	switch {
-	case r != nil && isLate(&r.server, &a):
+	case r != nil && isLate(r, &a):
 		return ErrStaleBoot.New("server=%s boot=%s sequence=%d current=%s/%d", a.ID, a.Boot, a.Sequence, r.server.Boot, r.server.Sequence)
 	case r == nil && len(t.rows) >= maxServers:
 		return ErrTableFull.New("server=%s limit=%d", a.ID, maxServers)
@@ -136,20 +148,28 @@
 	case slices.Contains(r.pastBoots, a.Boot):
 		return ErrStaleBoot.New("server=%s boot=%s current=%s", a.ID, a.Boot, r.server.Boot)
 	default:
-		r.pastBoots = append(r.pastBoots, r.server.Boot)
-		r.pastBoots = r.pastBoots[max(0, len(r.pastBoots)-maxPastBoots):]
-		markCold(r, a)
+		t.startAgain(r, a)
+	}
+	if d, ok := t.departures[a.ID]; ok && d.started == a.Started {
+		r.server.Deregistered = true
 	}
 	t.applyAnnouncement(now, r, a)
 	return nil
 }
 
+// startAgain prepares a row for the announcement of another start of its server.
+func (t *Table) startAgain(r *row, a control.Announcement) {
+	r.pastBoots = append(r.pastBoots, r.server.Boot)
+	r.pastBoots = r.pastBoots[max(0, len(r.pastBoots)-maxPastBoots):]
+	markCold(r, a)
+}
+
 // isLate reports whether the announcement is older than the current one, or the same.
-func isLate(current *control.BackendServer, a *control.Announcement) bool {
-	if a.Started != current.Started {
-		return a.Started > 0 && a.Started < current.Started
+func isLate(r *row, a *control.Announcement) bool {
+	if a.Started != r.server.Started {
+		return a.Started > 0 && a.Started < r.server.Started
 	}
-	return a.Sequence > 0 && a.Sequence <= current.Sequence
+	return a.Sequence > 0 && (a.Sequence <= r.server.Sequence || a.Sequence < r.minSequence)
 }
 
 // removeEarlierAtAddress removes the other backend servers at the announced address that started before this one: they no
@@ -176,9 +196,24 @@
 	defer t.mu.Unlock()
 	t.removeExpired(now)
 	r := t.rows[l.ID]
+	if l.Started > 0 && (r == nil || l.Started > r.server.Started) {
+		t.storeDeparture(now, l)
+		return
+	}
 	if r == nil || l.Started > 0 && l.Started != r.server.Started {
 		return
 	}
+	t.markDeregistered(r)
+}
+
+func (t *Table) storeDeparture(now time.Time, l control.Leave) {
+	maps.DeleteFunc(t.departures, func(_ string, d departure) bool { return now.After(d.expiresAt) })
+	if len(t.departures) < maxServers && len(l.ID) <= maxTextBytes {
+		t.departures[l.ID] = departure{started: l.Started, expiresAt: now.Add(DepartureTTL)}
+	}
+}
+
+func (t *Table) markDeregistered(r *row) {
 	r.server.Deregistered, r.server.Leaving, r.server.Phase, r.server.Reason = true, true, control.PhaseLeaving, "deregistered"
 	t.version++
 	r.changedIn, t.nonLoadVersion = t.version, t.version
@@ -240,7 +275,7 @@
 
 func markCold(r *row, a control.Announcement) {
 	r.server.Phase, r.server.Limit, r.server.Reason = control.PhaseCold, ColdLimit(a), "new boot number"
-	r.prefixesReplacedAt, r.saysLeavingAt, r.server.Deregistered = time.Time{}, time.Time{}, false
+	r.prefixesReplacedAt, r.saysLeavingAt, r.server.Deregistered, r.minSequence = time.Time{}, time.Time{}, false, 0
 }
 
 // ColdLimit returns the number of concurrent requests that a backend server may have right after its start.
