entry: an answer of which nothing but the head came is no answer

Seen: a backend server that ended after a whole head with neither length nor chunks gave the caller status 200 with an empty body, framed as whole. Cause: a body that only the end of the connection delimits was taken as complete without a byte of it. Change: such an answer counts as broken off. Repeatable requests go to another backend server, others end as outcome_unknown. Evidence: "an answer whose head is cut" cuts at each byte of the head, on new and kept connections, with a length, with chunks and with neither; the three entries with neither failed before (status 200, empty), all pass. The other cuts held before.

--- a/server/entry/dispatch.go
+++ b/server/entry/dispatch.go
@@ -333,10 +333,19 @@
 		return nil, x.failConnection(err)
 	case tooLong:
 		return nil, x.fail(&attemptError{kind: failProtocol, err: Error.New("the answer is over %d bytes", limit)})
+	case len(body) == 0 && x.endsWithConnection():
+		return nil, x.failConnection(io.ErrUnexpectedEOF)
 	}
 	return body, nil
 }
 
+// endsWithConnection reports whether only the end of the connection shows where the answer's body ends. If nothing came of such a
+// body, the backend server more likely ended after the head than had nothing to send: a server that has no body says so.
+func (x *exchange) endsWithConnection() bool {
+	r := x.response
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody
+}
+
 // checkRetry records a failed attempt and decides whether the request may be sent again. It reports a crash to the control
 // group and takes the retry from the retry budget. It returns nil if another attempt is allowed, else the refusal for the
 // caller.
--- a/server/entry/routed_stream.go
+++ b/server/entry/routed_stream.go
@@ -170,6 +170,9 @@
 			call.lastEventID = id
 		}
 	}
+	if x.events == 0 && x.endsWithConnection() {
+		return x.failConnection(io.ErrUnexpectedEOF)
+	}
 	x.recordSuccess()
 	x.sampleInterval(x.events, last.Sub(x.began)-first, true)
 	h.countRoutedAnswer(x, first)
