entry: the bodies of open requests have a bound

Cause: each body had a bound, all together had none; a chat body is in memory up to five times. Change: the bodies of open requests share a quarter of the memory limit, with the budget that answers have. What has no room is refused as not run, after the rest of its body was read away. A chat body whose copies would fill the budget alone is served while there is no other.

--- a/server/daemon/entry.go
+++ b/server/daemon/entry.go
@@ -45,13 +45,16 @@
 		RoutedRetryRatio: retryBudgetShare * s.RetryRatio, RoutedRetrySlack: retryBudgetShare * s.RetrySlack, SureConfidence: s.SureConfidence,
 		Dialect: adapter.Dialect(), DrainDelay: s.StopGrace * drainDelayPercent / 100, StreamDrainDelay: s.StopGrace * streamDrainDelayPercent / 100,
 		MaxViewAge: s.MaxViewAge, MaxBody: int64(s.MaxBodyBytes), RequestLimit: s.RequestTimeLimit,
-		AnswerBuffer: int64(s.MemoryLimitMB) << 20 / answerBufferDivisor,
+		AnswerBuffer: int64(s.MemoryLimitMB) << 20 / answerBufferDivisor, RequestBuffer: int64(s.MemoryLimitMB) << 20 / requestBufferDivisor,
 	})
 }
 
 // answerBufferDivisor sets the part of the process's memory that answers may take while they are buffered: a third.
 const answerBufferDivisor = 3
 
+// requestBufferDivisor sets the part of the process's memory that the bodies of open requests may take: a quarter.
+const requestBufferDivisor = 4
+
 // retryBudgetShare is the share of the fleet's retry budget that entry instances use. The rest is a margin for time windows
 // of the budget that begin at different times.
 const retryBudgetShare = 0.92
--- /dev/null
+++ b/server/entry/bytebudget.go
@@ -0,0 +1,114 @@
+package entry
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+
+	"github.com/zeebo/errs"
+)
+
+// byteBudget bounds the memory that all answers of backend servers, or all bodies of requests, take together while they are
+// buffered. Without it, backend servers that send bytes without end, or many large requests at once, would use up the memory of
+// the instance.
+type byteBudget struct {
+	limit int64
+	used  atomic.Int64
+}
+
+// errBufferFull means that the bytes of an answer or body have no room.
+var errBufferFull = errs.Class("buffer full")
+
+const (
+	// bufferStep is the number of bytes that a bufferShare takes at a time.
+	bufferStep = 64 << 10
+	// uncountedBytes is the size up to which an answer or body is not counted: that of nearly all.
+	uncountedBytes = 32 << 10
+)
+
+// bufferShare is the part of a byteBudget that one attempt or request holds. It is not safe for concurrent use.
+type bufferShare struct {
+	buffer *byteBudget
+	held   int64
+}
+
+// grow makes the share hold at least size bytes. It returns an error if the buffer has no room for that.
+func (s *bufferShare) grow(size int) error {
+	if size <= uncountedBytes {
+		return nil
+	}
+	missing := (int64(size) - s.held + bufferStep - 1) / bufferStep * bufferStep
+	if missing <= 0 {
+		return nil
+	}
+	if s.buffer.used.Add(missing) > s.buffer.limit {
+		s.buffer.used.Add(-missing)
+		return Error.Wrap(errBufferFull.New("%d bytes are in use", s.buffer.limit))
+	}
+	s.held += missing
+	return nil
+}
+
+// shrink gives back what the share holds beyond size bytes.
+func (s *bufferShare) shrink(size int) {
+	if size <= uncountedBytes {
+		s.release()
+		return
+	}
+	if surplus := s.held - (int64(size)+bufferStep-1)/bufferStep*bufferStep; surplus > 0 {
+		s.buffer.used.Add(-surplus)
+		s.held -= surplus
+	}
+}
+
+func (s *bufferShare) release() {
+	s.buffer.used.Add(-s.held)
+	s.held = 0
+}
+
+// readPieces holds buffers of bufferStep bytes.
+var readPieces = sync.Pool{New: func() any { return new([bufferStep]byte) }}
+
+// readAll reads up to limit bytes into memory that the share accounts for. tooLong is set if there are more. What is over
+// uncountedBytes is read in pieces and joined at the end: a buffer that grows would leave its earlier arrays to the garbage
+// collector, which many large bodies at once would not wait for.
+func (s *bufferShare) readAll(r io.Reader, limit int64) (body []byte, tooLong bool, err error) {
+	body, err = io.ReadAll(io.LimitReader(r, min(limit+1, uncountedBytes)))
+	if err != nil || len(body) < uncountedBytes {
+		return body, int64(len(body)) > limit, err
+	}
+	var pieces []*[bufferStep]byte
+	defer func() {
+		for _, piece := range pieces {
+			readPieces.Put(piece)
+		}
+		s.shrink(cap(body))
+	}()
+	size, used := len(body), bufferStep
+	for err == nil && int64(size) <= limit {
+		if used == bufferStep {
+			if err = s.grow(cap(body) + (len(pieces)+1)*bufferStep); err != nil {
+				return nil, false, err
+			}
+			pieces, used = append(pieces, readPieces.Get().(*[bufferStep]byte)), 0
+		}
+		var n int
+		n, err = r.Read(pieces[len(pieces)-1][used:])
+		size, used = size+n, used+n
+	}
+	if err != nil && err != io.EOF {
+		return nil, false, err
+	}
+	if int64(size) > limit {
+		return nil, true, nil
+	}
+	if err := s.grow(cap(body) + len(pieces)*bufferStep + size); err != nil {
+		return nil, false, err
+	}
+	joined := append(make([]byte, 0, size), body...)
+	for _, piece := range pieces {
+		joined = append(joined, piece[:min(size-len(joined), bufferStep)]...)
+	}
+	body = joined
+	return body, false, nil
+}
--- a/server/entry/chat.go
+++ b/server/entry/chat.go
@@ -48,13 +48,31 @@
 	body   []byte
 }
 
-// readRequestBody reads a body of at most limit bytes within CallerReadTimeout.
-func (h *Handler) readRequestBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *problem.Problem) {
+// chatCopies is the number of copies of a chat request's body in memory: as received, as fields, as messages, and twice as encoded for
+// a backend server.
+const chatCopies = 5
+
+// readRequestBody reads a body of at most limit bytes within CallerReadTimeout. The request holds room for that many copies of it until
+// it is closed; without room it is refused.
+func (h *Handler) readRequestBody(w http.ResponseWriter, r *http.Request, rq *request, limit int64, copies int) ([]byte, *problem.Problem) {
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(h.cfg.CallerReadTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	share := &bufferShare{buffer: &h.requestBuffer}
+	rq.releases = append(rq.releases, share.release)
+	limited := http.MaxBytesReader(w, r.Body, limit)
+	body, _, err := share.readAll(limited, limit)
+	if err == nil && copies > 1 {
+		// A body whose copies would fill the memory alone is served while there is no other.
+		err = share.grow(min(copies*len(body), int(h.requestBuffer.limit-bufferStep)))
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errBufferFull.Has(err):
+		share.release()
+		// A caller that is still sending might not read the refusal.
+		_, _ = io.Copy(io.Discard, limited)
+		_ = control.SetReadDeadline(time.Time{})
+		return nil, problem.New(problem.Overloaded, "the bodies of other requests take the memory for them").MarkNotRun().WithRetryAfter(time.Second)
 	case errors.As(err, &tooLarge):
 		return nil, problem.New(problem.BodyTooLarge, "the body is over the limit").MarkNotRun()
 	case err != nil:
@@ -169,7 +187,7 @@
 // prepareChat parses the body, checks the workspace's permission, counts the request against the workspace's limits and checks
 // the quarantine. The version is chosen later.
 func (h *Handler) prepareChat(w http.ResponseWriter, r *http.Request, rq *request) *problem.Problem {
-	body, p := h.readRequestBody(w, r, h.cfg.MaxBody)
+	body, p := h.readRequestBody(w, r, rq, h.cfg.MaxBody, chatCopies)
 	if p != nil {
 		return p
 	}
--- a/server/entry/config.go
+++ b/server/entry/config.go
@@ -50,6 +50,8 @@
 	// AnswerBuffer bounds the memory that the answers of backend servers take while they are buffered, all together, in bytes.
 	// Default 64 MiB.
 	AnswerBuffer int64
+	// RequestBuffer bounds the memory that the bodies of open requests take, all together, in bytes. Default 64 MiB.
+	RequestBuffer int64
 	// RequestLimit is the longest time that a request may take, with or without a deadline. Default 10 min.
 	RequestLimit time.Duration
 	// FullLoad is the load of a backend server in service, as a multiple of its capacity, from which requests wait in this
@@ -126,6 +128,7 @@
 	setIfZero(&c.MaxBody, 4<<20)
 	setIfZero(&c.MaxAnswer, 16<<20)
 	setIfZero(&c.AnswerBuffer, 64<<20)
+	setIfZero(&c.RequestBuffer, 64<<20)
 	setIfZero(&c.RequestLimit, 10*time.Minute)
 	setIfZero(&c.FullLoad, 2)
 	setIfZero(&c.MaxWait, 2*time.Second)
--- a/server/entry/handler.go
+++ b/server/entry/handler.go
@@ -51,9 +51,10 @@
 	rollouts           *rolloutTimes
 	rolloutSamples     *rolloutSamples
 	parts              *partWatch
-	answerBuffer       answerBuffer
-	statements         statements
-	budgetMu           sync.Mutex // guards budgets
+	// answerBuffer and requestBuffer bound the memory of buffered answers and request bodies.
+	answerBuffer, requestBuffer byteBudget
+	statements                  statements
+	budgetMu                    sync.Mutex // guards budgets
 	// budgets holds the retry budget of each service, by service name.
 	budgets map[string]*retry.Budget
 
@@ -102,7 +103,7 @@
 		balance: balance.NewTracker(), boundSessions: newBoundSessions(), oldVersionSessions: newKeptSessions(), answeredRequests: newAnsweredSet(), parts: newPartWatch(), rollouts: newRolloutTimes(), rolloutSamples: newRolloutSamples(), budgets: map[string]*retry.Budget{},
 		idle: make(chan struct{}), stopBackground: stop,
 	}
-	h.answerBuffer.limit = cfg.AnswerBuffer
+	h.answerBuffer.limit, h.requestBuffer.limit = cfg.AnswerBuffer, cfg.RequestBuffer
 	h.slots = newSlotHolder(&h.cfg)
 	h.finisher = newCallFinisher(&h.cfg)
 	h.ratings = newRater(&h.cfg, m, h.outcomes)
--- a/server/entry/routed.go
+++ b/server/entry/routed.go
@@ -68,7 +68,7 @@
 	}
 	defer h.endRequest()
 	h.metrics.requests.WithLabelValues("routed").Inc()
-	body, p := h.readRequestBody(w, r, rq.routed.maxBodyBytes)
+	body, p := h.readRequestBody(w, r, rq, rq.routed.maxBodyBytes, 1)
 	if p != nil {
 		h.refuseRouted(w, rq, p)
 		return
--- a/server/entry/services.go
+++ b/server/entry/services.go
@@ -78,7 +78,7 @@
 	if !call.idempotent && rq.idempotencyKey == "" {
 		return nil, problem.New(problem.KeyRequired, "this call needs the header "+headerIdempotencyKey).MarkNotRun()
 	}
-	body, p := h.readRequestBody(w, r, h.cfg.MaxBody)
+	body, p := h.readRequestBody(w, r, rq, h.cfg.MaxBody, 1)
 	if p != nil {
 		return nil, p
 	}
--- a/server/entry/sse_internal_test.go
+++ b/server/entry/sse_internal_test.go
@@ -7,7 +7,7 @@
 
 // Guards against long lines of many streams at once that together use up the memory of the instance.
 func TestLongLinesAreCounted(t *testing.T) {
-	buffer := answerBuffer{limit: 512 << 10}
+	buffer := byteBudget{limit: 512 << 10}
 	first, second := bufferShare{buffer: &buffer}, bufferShare{buffer: &buffer}
 	read := func(share *bufferShare) error {
 		events := newEventReader(strings.NewReader("data: "+strings.Repeat("x", 100<<10)+"\n"), share)
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -70,6 +70,9 @@
 	RatingURL string
 	// MaxViewAge is the setting entry.max_view_age. Default 6s.
 	MaxViewAge time.Duration
+	// MemoryLimitMB is the setting instance.memory_limit_mb, StopGrace the setting entry.stop_grace. Zero leaves them out.
+	MemoryLimitMB int
+	StopGrace     time.Duration
 }
 
 // Instance is one daemon and its files.
@@ -154,6 +157,7 @@
 availability_zone = {{.I.AvailabilityZone}}
 roles = {{if .I.Control}}control, {{end}}entry
 {{if .I.Control}}data_dir = {{.I.DataDir}}{{end}}
+{{if .MemoryLimitMB}}memory_limit_mb = {{.MemoryLimitMB}}{{end}}
 [listen]
 callers = {{.I.Callers}}
 peers = {{.I.Peers}}
@@ -169,6 +173,7 @@
 [entry]
 max_view_age = {{.MaxViewAge}}
 max_entries = {{.MaxEntries}}
+{{if .StopGrace}}stop_grace = {{.StopGrace}}{{end}}
 {{if .RatingURL}}[platform]
 rating_url = {{.RatingURL}}{{end}}
 `))
@@ -184,7 +189,7 @@
 	err = settingsTemplate.Execute(&out, map[string]any{
 		"I": instance, "Replicas": replicas, "Bootstrap": bootstrap && instance.Control, "Secret": s.secretFile(),
 		"Token": Hash(OperatorToken), "MaxViewAge": s.config.MaxViewAge, "MaxEntries": max(9, len(s.Instances)),
-		"RatingURL": s.config.RatingURL,
+		"RatingURL": s.config.RatingURL, "MemoryLimitMB": s.config.MemoryLimitMB, "StopGrace": s.config.StopGrace,
 	})
 	if err != nil {
 		return Error.Wrap(err)
