entry: a stop refuses what may outlast it, and answers what is open at its end

Seen: requests that came late in a planned stop, calls that may not be repeated among them, were passed on and cut without an answer. Cause: until 70% of the grace each request but streams was taken, whatever time it might need. At the end of the drain the daemon closed its listeners and waited up to 5 s for open requests, which the kill at the end of the grace ended. Change: after the load balancer's time (35% of the grace) a request whose time limit is later than the end of the drain is refused as not run, chat completions and service calls too. At the end of the drain open requests are ended: as not run if no backend server has them, else as outcome_unknown; a stream that has begun is cut.

--- a/server/entry/dispatch.go
+++ b/server/entry/dispatch.go
@@ -262,6 +262,8 @@
 		f.kind, f.err = failNoAnswer, cause
 	case errors.Is(cause, context.DeadlineExceeded):
 		f.kind = failTimeout
+	case errStopping.Has(cause):
+		f.kind, f.err = failCancelled, cause
 	case x.ctx.Err() != nil:
 		f.kind = failCancelled
 	case !connected:
--- a/server/entry/drain.go
+++ b/server/entry/drain.go
@@ -51,16 +51,55 @@
 	}
 }
 
-// beginRouted counts a routed request as open or refuses it. While the instance stops, streams are refused earlier than other
-// requests, as they might not end before the process does.
-func (h *Handler) beginRouted(stream bool) *problem.Problem {
+// checkStop refuses a request that may outlast a stop: a stream, or one whose time limit is later than the end of the drain.
+// Until StreamDrainDelay has passed, the load balancer may not know of the stop yet, and nothing is refused.
+func (h *Handler) checkStop(limit time.Time, stream bool) *problem.Problem {
 	h.mu.Lock()
-	late := stream && h.stopping && time.Since(h.stoppingSince) >= h.cfg.StreamDrainDelay
-	h.mu.Unlock()
-	if late {
-		return problem.New(problem.Stopping, "the instance is stopping and a stream may outlast it").MarkNotRun().WithRetryAfter(stoppingRetryAfter)
+	defer h.mu.Unlock()
+	if !h.stopping || time.Since(h.stoppingSince) < h.cfg.StreamDrainDelay {
+		return nil
+	}
+	if !stream && (h.drainEnd.IsZero() || !limit.After(h.drainEnd)) {
+		return nil
+	}
+	return problem.New(problem.Stopping, "the instance is stopping and the request may outlast it").MarkNotRun().WithRetryAfter(stoppingRetryAfter)
+}
+
+// errStopping is the cancellation cause of requests that are open at the end of the drain.
+var errStopping = errs.Class("instance stopped")
+
+// withStop returns a context that also ends when the time for open requests is over in a stop.
+func (h *Handler) withStop(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(h.drainEnded, func() { cancel(errStopping.New("the time for open requests is over")) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
+// stoppedProblem returns the answer to a request that errStopping ended.
+func (rq *request) stoppedProblem() *problem.Problem {
+	if rq.mayHaveRun || rq.routed == nil && rq.written {
+		return problem.New(problem.OutcomeUnknown, "the instance stopped before the backend server had answered; the request may have run")
 	}
-	return h.beginRequest()
+	return problem.New(problem.Stopping, "the instance stopped before a backend server was free").WithRetryAfter(stoppingRetryAfter)
+}
+
+// finalAnswersTime is how long the answers to requests that errStopping ended may take.
+const finalAnswersTime = 250 * time.Millisecond
+
+// endOpenRequests ends the requests that are open at the end of the drain and waits until each has its answer. It returns the
+// number of those that have none.
+func (h *Handler) endOpenRequests() int {
+	h.endDrain()
+	select {
+	case <-h.idle:
+	case <-time.After(finalAnswersTime):
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.openCount
 }
 
 // stoppingRetryAfter is the Retry-After time of requests that are refused because this instance is stopping. It is short, as
@@ -78,6 +117,7 @@
 func (h *Handler) waitForLoadBalancer(ctx context.Context) {
 	h.mu.Lock()
 	h.stopping, h.stoppingSince = true, time.Now()
+	h.drainEnd, _ = ctx.Deadline()
 	h.mu.Unlock()
 	if h.cfg.DrainDelay <= 0 {
 		return
@@ -89,8 +129,9 @@
 }
 
 // Drain stops the handler gracefully. It sets the instance to not ready and refuses new requests with not_run set. Then it
-// waits until all requests and streams have ended and the control group has all bills, call records and released slots. It
-// returns an error only when ctx ends first; the error says what was left.
+// waits until all requests and streams have ended and the control group has all bills, call records and released slots. When
+// ctx ends first, it ends the open requests with an answer that says whether they may have run, and returns an error that says
+// what was left.
 func (h *Handler) Drain(ctx context.Context) error {
 	h.waitForLoadBalancer(ctx)
 	h.mu.Lock()
@@ -104,8 +145,9 @@
 	case <-h.idle:
 	case <-ctx.Done():
 		h.mu.Lock()
-		defer h.mu.Unlock()
-		return ErrDrain.New("%d requests are open", h.openCount)
+		open := h.openCount
+		h.mu.Unlock()
+		return ErrDrain.New("%d requests were open, %d got no answer", open, h.endOpenRequests())
 	}
 	if left := h.bills.drain(ctx); left > 0 {
 		return ErrDrain.New("%d bills are not recorded", left)
--- a/server/entry/handler.go
+++ b/server/entry/handler.go
@@ -76,8 +76,13 @@
 	stopping      bool
 	stoppingSince time.Time
 	draining      bool
-	idle          chan struct{} // closed when draining and no request is open
+	// drainEnd is the end of the time for open requests in a stop; zero if they have no bound.
+	drainEnd time.Time
+	idle     chan struct{} // closed when draining and no request is open
 
+	// drainEnded ends when endDrain is called, at the end of the time for open requests in a stop.
+	drainEnded context.Context
+	endDrain   context.CancelFunc
 	// stopBackground ends the background goroutines; Close waits for them.
 	stopBackground context.CancelFunc
 	background     sync.WaitGroup
@@ -103,6 +108,7 @@
 		balance: balance.NewTracker(), boundSessions: newBoundSessions(), oldVersionSessions: newKeptSessions(), answeredRequests: newAnsweredSet(), parts: newPartWatch(), rollouts: newRolloutTimes(), rolloutSamples: newRolloutSamples(), budgets: map[string]*retry.Budget{},
 		idle: make(chan struct{}), stopBackground: stop,
 	}
+	h.drainEnded, h.endDrain = context.WithCancel(context.Background())
 	h.answerBuffer.limit, h.requestBuffer.limit = cfg.AnswerBuffer, cfg.RequestBuffer
 	h.slots = newSlotHolder(&h.cfg)
 	h.finisher = newCallFinisher(&h.cfg)
@@ -116,6 +122,7 @@
 
 // Close ends the handler's goroutines and closes its idle connections. Call Drain first, so that no open request is cut off.
 func (h *Handler) Close() {
+	h.endDrain()
 	h.stopBackground()
 	h.background.Wait()
 	h.bills.close()
--- a/server/entry/place.go
+++ b/server/entry/place.go
@@ -142,12 +142,15 @@
 	return end
 }
 
-// checkExpired returns a problem when the deadline has passed or the caller has disconnected.
+// checkExpired returns a problem when the deadline has passed, the caller has disconnected or the instance stopped.
 func (h *Handler) checkExpired(ctx context.Context, rq *request) *problem.Problem {
 	d := rq.route.Deadline
 	if ctx.Err() == nil && (d.IsZero() || time.Now().Before(d)) {
 		return nil
 	}
+	if errStopping.Has(context.Cause(ctx)) {
+		return rq.stoppedProblem()
+	}
 	return problem.New(problem.DeadlineExceeded, "the deadline has passed or the caller is gone")
 }
 
--- a/server/entry/request.go
+++ b/server/entry/request.go
@@ -198,7 +198,7 @@
 	if p := rq.readDeadline(r, now); p != nil {
 		return rq, p.MarkNotRun()
 	}
-	return rq, nil
+	return rq, h.checkStop(h.timeLimit(rq), false)
 }
 
 // readDeadline sets the deadline from HeaderDeadline, in milliseconds from now.
@@ -228,13 +228,23 @@
 	return nil
 }
 
-// withTimeLimit returns a context that ends at the caller's deadline or after RequestLimit, whichever is first.
-func (h *Handler) withTimeLimit(ctx context.Context, rq *request) (context.Context, context.CancelFunc) {
+// timeLimit returns the caller's deadline or the time after RequestLimit, whichever is first.
+func (h *Handler) timeLimit(rq *request) time.Time {
 	limit := rq.start.Add(h.cfg.RequestLimit)
 	if d := rq.route.Deadline; !d.IsZero() && d.Before(limit) {
 		limit = d
 	}
-	return context.WithDeadline(ctx, limit)
+	return limit
+}
+
+// withTimeLimit returns a context that ends at the request's time limit, and at the end of the drain in a stop.
+func (h *Handler) withTimeLimit(ctx context.Context, rq *request) (context.Context, context.CancelFunc) {
+	ctx, release := h.withStop(ctx)
+	ctx, cancel := context.WithDeadline(ctx, h.timeLimit(rq))
+	return ctx, func() {
+		cancel()
+		release()
+	}
 }
 
 // takeWorkspaceLimits counts the request against the workspace's rate and concurrency limits, or refuses it.
--- a/server/entry/routed.go
+++ b/server/entry/routed.go
@@ -60,7 +60,10 @@
 		defer rq.close()
 	}
 	if p == nil {
-		p = h.beginRouted(rq.routed.route.Kind == catalogue.KindStream)
+		p = h.checkStop(rq.routed.deadline, rq.routed.route.Kind == catalogue.KindStream)
+	}
+	if p == nil {
+		p = h.beginRequest()
 	}
 	if p != nil {
 		h.refuseRouted(w, rq, p)
@@ -78,7 +81,9 @@
 		h.refuseRouted(w, rq, p)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), rq.routed.deadline)
+	ctx, release := h.withStop(r.Context())
+	defer release()
+	ctx, cancel := context.WithDeadline(ctx, rq.routed.deadline)
 	defer cancel()
 	h.runRouted(ctx, w, rq)
 }
--- a/server/entry/routed_run.go
+++ b/server/entry/routed_run.go
@@ -144,7 +144,7 @@
 	}
 	mayRepeat := f.notRun || !f.wrote || call.route.Repeatable()
 	rq.mayHaveRun = rq.mayHaveRun || f.wrote && !f.notRun
-	if f.kind == failCancelled {
+	if f.kind == failCancelled && !errStopping.Has(f.err) {
 		// The caller disconnected or doesn't read, so another attempt is of no use.
 		return problem.New(problem.DeadlineExceeded, "the caller does not take the answer")
 	}
--- a/standin/e2e/stop_test.go
+++ b/standin/e2e/stop_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net"
+	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -43,6 +45,41 @@
 	})
 })
 
+var _ = Describe("a planned stop with a grace after which the process is killed", func() {
+	const grace = 4 * time.Second
+	// Guards against requests that are taken and cut: a caller that gets no answer can't tell whether its request ran.
+	It("answers each request that it takes, at any time in the grace", func() {
+		f := startSite(site.Config{ControlCount: 3, EntryCount: 1, StopGrace: grace}, func(c *engine.Config) { c.FirstTokenDelay = 3 * time.Second })
+		target := f.Instances[3]
+		ask := func() *site.Answer {
+			answer, err := f.Post(target, "/v1/chat/completions", site.LargeKey, chatBody("cheap", "x", false), "Clementinetray-Deadline-Ms", "9000")
+			Expect(err).NotTo(HaveOccurred())
+			return answer
+		}
+		Expect(target.Signal(syscall.SIGTERM)).To(Succeed())
+		time.AfterFunc(grace, target.Kill)
+		var asked sync.WaitGroup
+		check := func(reason string, notRun bool) {
+			asked.Go(func() {
+				defer GinkgoRecover()
+				answer := ask()
+				Expect(answer.Body).To(ContainSubstring(`"reason":"` + reason + `"`))
+				Expect(strings.Contains(answer.Body, `"not_run":true`)).To(Equal(notRun), answer.Body)
+			})
+		}
+		time.Sleep(400 * time.Millisecond)
+		check("outcome_unknown", false)
+		time.Sleep(1400 * time.Millisecond)
+		check("stopping", true)
+		time.Sleep(600 * time.Millisecond)
+		check("stopping", true)
+		time.Sleep(800 * time.Millisecond)
+		check("stopping", true)
+		asked.Wait()
+		Eventually(target.Done()).WithTimeout(2 * time.Second).Should(BeClosed())
+	})
+})
+
 // startLongStream opens a stream of n tokens, 20 ms apart, through the target. It takes the other backend servers of the
 // version out of service, so that the stream runs on a server that it starts. The channel receives the body, or the error of
 // a broken stream.
