controlstate: the record holds as many backend servers as the fleet table

Seen in a test: with 3,000 backend servers the announcements of those beyond 2,000 were refused after 700 ms each, for good. Cause: the table holds 12,000 servers and the record held 2,000; since an announcement is acknowledged once it is recorded, the others never were. Change: the record has the bound of the table. Evidence: "are recorded for thousands of servers" failed before and passes.

--- a/server/controlstate/state.go
+++ b/server/controlstate/state.go
@@ -54,9 +54,9 @@
 	// control.PhaseGone for PhaseTTL are removed.
 	MaxPhases = 10_000
 	PhaseTTL  = 24 * time.Hour
-	// MaxServers bounds the backend servers whose announcement is recorded. It is over three times the largest fleet of
-	// the design.
-	MaxServers = 2000
+	// MaxServers bounds the backend servers whose announcement is recorded. It is not below the bound of the fleet table: an
+	// announcement is acknowledged once it is recorded.
+	MaxServers = 12_000
 	// MaxOrders bounds the availability zones, and separately the backend servers, that are ordered out of service.
 	MaxOrders = 10_000
 )
--- a/server/controlsvc/departures_test.go
+++ b/server/controlsvc/departures_test.go
@@ -1,6 +1,7 @@
 package controlsvc
 
 import (
+	"fmt"
 	"log/slog"
 	"time"
 
@@ -121,6 +122,21 @@
 		Expect(leave(1)).To(Succeed())
 	})
 
+	// Guards against a fleet that the table holds and the record does not: its servers would never be acknowledged.
+	It("are recorded for thousands of servers", func() {
+		const servers = 3000
+		for first := 0; first < servers; first += 500 {
+			in := &control.AnnounceRequest{}
+			for i := range 500 {
+				a := serverAnnouncement(1, 1)
+				a.ID = fmt.Sprint("s", first+i)
+				a.Address = fmt.Sprintf("127.0.%d.%d:80", (first+i)/250, (first+i)%250)
+				in.Announcements = append(in.Announcements, a)
+			}
+			Expect(b.Announce(in, &control.Empty{})).To(Succeed())
+		}
+	})
+
 	// Guards against heartbeats that wait for a sync although they change nothing.
 	It("don't wait while nothing changes but load", func() {
 		b.log.update(func() { b.log.gate = make(chan struct{}) })
