entry: bodies that are read in pieces hold room for their copy from the beginning

Cause: since bodies are read in pieces, an endless answer was read for about three times as many bytes before the budget was full. Change: a piece counts twice, for itself and for the copy that joins it, which then can't fail for want of room.

--- a/server/entry/bytebudget.go
+++ b/server/entry/bytebudget.go
@@ -87,7 +87,8 @@
 	size, used := len(body), bufferStep
 	for err == nil && int64(size) <= limit {
 		if used == bufferStep {
-			if err = s.grow(cap(body) + (len(pieces)+1)*bufferStep); err != nil {
+			// Room for the pieces and for their copy, so that joining them can't fail.
+			if err = s.grow(cap(body) + 2*(len(pieces)+1)*bufferStep); err != nil {
 				return nil, false, err
 			}
 			pieces, used = append(pieces, readPieces.Get().(*[bufferStep]byte)), 0
@@ -102,9 +103,6 @@
 	if int64(size) > limit {
 		return nil, true, nil
 	}
-	if err := s.grow(cap(body) + len(pieces)*bufferStep + size); err != nil {
-		return nil, false, err
-	}
 	joined := append(make([]byte, 0, size), body...)
 	for _, piece := range pieces {
 		joined = append(joined, piece[:min(size-len(joined), bufferStep)]...)
