controlclient: a call whose time has ended without an answer returns an error

Cause: Sync left its loop as its context had ended, before any call had failed, and wrapped a nil error, so it returned neither a reply nor an error. Change: it returns the error of the context then.

--- a/server/controlclient/client.go
+++ b/server/controlclient/client.go
@@ -136,9 +136,12 @@
 			c.updateReplicas(a.reply.Replicas)
 			return a.reply, nil
 		case <-ctx.Done():
-			lastErr = ctx.Err()
 		}
 	}
+	if lastErr == nil {
+		// No call had failed when the time was over. Wrap returns nil for nil.
+		lastErr = ctx.Err()
+	}
 	return nil, control.ErrUnavailable.Wrap(lastErr)
 }
 
--- a/server/controlclient/client_test.go
+++ b/server/controlclient/client_test.go
@@ -143,6 +143,15 @@
 		Expect(time.Since(started)).To(BeNumerically("<", 500*time.Millisecond))
 	})
 
+	// Guards against a process that ends because it reads a reply that a call did not get, as after its machine was suspended.
+	It("returns an error when the time for a call has ended before any answer or failure", func() {
+		_, c := startReplicas(1)
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		reply, err := c.Sync(ctx, &control.SyncRequest{})
+		Expect(control.ErrUnavailable.Has(err)).To(BeTrue(), "error %v, reply %v", err, reply)
+	})
+
 	It("does not wait for an unresponsive replica while another one answers (guards against instances that start to serve a second late after a power failure)", func() {
 		replicas, _ := startReplicas(1)
 		pool := peer.NewPool(secret, time.Second)
