--- a/server/balance/balance.go
+++ b/server/balance/balance.go
@@ -65,6 +65,12 @@
 	Latency time.Duration
 	// CachedTokens is the number of prompt tokens that the server has probably cached.
 	CachedTokens int
+	// FirstEvent is the expected time from the dispatch of this request to its first event, 0 if unknown.
+	FirstEvent time.Duration
+	// EventTime is the expected time between two events of this request, 0 if unknown.
+	EventTime time.Duration
+	// WorkPercent is how long work takes on the server's machine, as a percentage of the usual time, 0 if it is not reported.
+	WorkPercent int
 }
 
 const (
@@ -201,5 +207,8 @@
 // LoadReport is the load that a backend server reported in an answer.
 type LoadReport struct {
 	Running, Waiting, Slots int
-	At                      time.Time
+	// WorkPercent is how long work takes on the server's machine at this moment, as a percentage of the usual time. 0 means
+	// that the server does not report it.
+	WorkPercent int
+	At          time.Time
 }
