replica: a voter that was removed while it was partitioned catches up

Seen: a voter that is removed while it is partitioned is added again as a learner, stays at catching_up, and is removed as silent, over and over; the group stays below its size in live voters. Cause: the leader closes the link to a removed node, and the link made at the next admission began again with stream 1. The receiver, which was not restarted, dropped calls of a lower stream and reported success, so the sender never began a higher one. Change: the streams of all links of a replica and boot are numbered by one counter. Taking a number and closing a link are under one lock, so a closed link that waits for a call slot takes no number above that of the link made since. A failed call belongs to its stream: late failures don't end the current one. TestCallOrder states which calls are rejected: a call of an earlier stream now returns an error, which it took for a failure.

--- a/server/peer/pool.go
+++ b/server/peer/pool.go
@@ -12,8 +12,8 @@
 
 // Pool keeps one RPC connection per address and replaces broken ones. It is safe for concurrent use.
 type Pool struct {
-	secret      []byte
-	dialTimeout time.Duration
+	secret []byte
+	dial   DialFunc
 
 	mu      sync.Mutex // guards clients
 	clients map[string]*rpc.Client
@@ -21,7 +21,17 @@
 
 // NewPool returns a pool without connections. dialTimeout limits the time to open a TCP connection.
 func NewPool(secret []byte, dialTimeout time.Duration) *Pool {
-	return &Pool{secret: secret, dialTimeout: dialTimeout, clients: map[string]*rpc.Client{}}
+	return NewPoolWithDial(secret, func(ctx context.Context, address string) (net.Conn, error) {
+		return Dial(ctx, net.Dialer{Control: SetTCPUserTimeout}, address, dialTimeout)
+	})
+}
+
+// DialFunc opens a connection to an address.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// NewPoolWithDial returns a pool without connections that opens them with dial. Tests use it to inject network faults.
+func NewPoolWithDial(secret []byte, dial DialFunc) *Pool {
+	return &Pool{secret: secret, dial: dial, clients: map[string]*rpc.Client{}}
 }
 
 // Call invokes method at address and waits until the reply arrives or ctx ends. A connection on which a call timed out is
@@ -61,7 +71,7 @@
 	if client != nil {
 		return client, nil
 	}
-	conn, err := Dial(ctx, net.Dialer{Control: SetTCPUserTimeout}, address, p.dialTimeout)
+	conn, err := p.dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
--- a/server/replica/cluster_test.go
+++ b/server/replica/cluster_test.go
@@ -71,11 +71,18 @@
 	changeConfig func(*replica.Config)
 	// committedCount counts the commits by propose of each command.
 	committedCount map[string]int
+	// network holds the faults of the connections between the replicas; nil: no faults.
+	network *faultNetwork
 }
 
 // newCluster starts size replicas named c1, c2, ... on loopback.
 func newCluster(t testing.TB, size int, changeConfig func(*replica.Config)) *cluster {
-	c := &cluster{t: t, members: map[string]string{}, nodes: map[string]*node{}, changeConfig: changeConfig}
+	return newClusterOn(t, nil, size, changeConfig)
+}
+
+// newClusterOn is newCluster on a network with injected faults.
+func newClusterOn(t testing.TB, network *faultNetwork, size int, changeConfig func(*replica.Config)) *cluster {
+	c := &cluster{t: t, members: map[string]string{}, nodes: map[string]*node{}, changeConfig: changeConfig, network: network}
 	root := t.TempDir()
 	for i := 1; i <= size; i++ {
 		n := c.listen(fmt.Sprintf("c%d", i), filepath.Join(root, fmt.Sprintf("c%d", i)))
@@ -104,6 +111,9 @@
 
 func (c *cluster) config(n *node) replica.Config {
 	n.pool, n.history = peer.NewPool(secret, time.Second), &commandLog{}
+	if c.network != nil {
+		n.pool = peer.NewPoolWithDial(secret, c.network.dialFrom(n.address))
+	}
 	cfg := replica.Config{
 		ID: n.id, Address: n.address, Members: c.members, Bootstrap: c.members[n.id] != "", DataDir: n.folder,
 		Pool: n.pool, Server: n.server, StateMachine: n.history, JoinInterval: 50 * time.Millisecond,
--- a/server/replica/contract.go
+++ b/server/replica/contract.go
@@ -30,6 +30,9 @@
 	ErrCommand = errs.Class("command too large")
 	// ErrOverloaded means that the uncommitted proposals have reached the limit; nothing was proposed.
 	ErrOverloaded = errs.Class("replica overloaded")
+	// ErrStaleStream means that a call belongs to an earlier stream of its sender than the newest one that arrived; its messages
+	// were dropped.
+	ErrStaleStream = errs.Class("stale stream")
 	// ErrNotMember means that the group does not admit this replica automatically: an operator has to add it.
 	ErrNotMember = errs.Class("not a member")
 )
--- a/server/replica/replica.go
+++ b/server/replica/replica.go
@@ -71,6 +71,8 @@
 	inboundMu sync.Mutex // guards inbound
 	inbound   map[raft.NodeID]*inboundCalls
 
+	streams streams
+
 	// departing is set when a planned stop begins. From then on this replica does not ask to join.
 	departing atomic.Bool
 
--- a/server/replica/transport.go
+++ b/server/replica/transport.go
@@ -6,7 +6,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"clementinetray/api/event"
@@ -37,8 +36,9 @@
 	Stamp   event.Stamp
 	// From and To apply to all Messages; the same fields of the messages are not transmitted.
 	From, To raft.NodeID
-	// Boot (the sender's process) and Stream identify a sequence of calls without a failed one. Sequence counts its calls
-	// from 1, because net/rpc runs calls in any order.
+	// Boot (the sender's process) and Stream identify a sequence of calls without a failed one. Streams are numbered over all
+	// receivers of a boot, so a later stream to a receiver has a higher number. Sequence counts the calls of a stream from 1,
+	// because net/rpc runs calls in any order.
 	Boot     uint64
 	Stream   uint64
 	Sequence uint64
@@ -69,16 +69,67 @@
 	stop  chan struct{}
 	// callSlots is a semaphore that limits the concurrent calls.
 	callSlots chan struct{}
-	// callFailed is set when a call fails, so that the next call starts a new stream.
-	callFailed       atomic.Bool
+
+	// The fields below are guarded by streams.mu.
+
+	closed bool
+	// stream is the current stream, 0 before the first call, and sequence the number of its calls.
 	stream, sequence uint64
+	// failedStream is the newest stream with a failed call.
+	failedStream uint64
 }
 
 func newLink(node raft.NodeID) *link {
 	return &link{
 		node: node, queue: make(chan raft.Message, linkQueueLength), stop: make(chan struct{}),
-		callSlots: make(chan struct{}, maxLinkCalls), stream: 1,
+		callSlots: make(chan struct{}, maxLinkCalls),
+	}
+}
+
+// streams numbers the streams of all links of this process. A link that replaces a closed one to the same node has only higher
+// streams than that one, which receivers that still know it rely on.
+type streams struct {
+	mu   sync.Mutex // guards last, and the closing and the streams of all links
+	last uint64
+}
+
+// nextCall returns the stream and the sequence number of the next call of the link; false when the link is closed. After a failed
+// call of the current stream it begins a new one.
+func (s *streams) nextCall(l *link) (stream, sequence uint64, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l.closed {
+		return 0, 0, false
+	}
+	if l.stream == l.failedStream {
+		// This also holds before the first call, as both are 0 then.
+		s.last++
+		l.stream, l.sequence = s.last, 0
 	}
+	l.sequence++
+	return l.stream, l.sequence, true
+}
+
+// callFailed records a failed call of a stream. Late failures of an earlier stream don't end the current one.
+func (s *streams) callFailed(l *link, stream uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l.failedStream = max(l.failedStream, stream)
+}
+
+// hasFailed reports whether a call of the current stream failed.
+func (s *streams) hasFailed(l *link) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return l.stream > 0 && l.stream == l.failedStream
+}
+
+// close closes the link, which begins no further call then.
+func (s *streams) close(l *link) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l.closed = true
+	close(l.stop)
 }
 
 // send queues the message for its receiver; it drops the message when the queue is full.
@@ -104,7 +155,7 @@
 func (r *Replica) closeUnusedLinks() {
 	for node, l := range r.links {
 		if _, member := r.node.Members().Find(node); !member && len(l.queue) == 0 {
-			close(l.stop)
+			r.streams.close(l)
 			delete(r.links, node)
 		}
 	}
@@ -123,20 +174,25 @@
 	}
 }
 
-// sendBatch waits until a further call may start. It then sends the message and the messages queued after it in one call.
+// sendBatch waits until a further call may start. It then sends the message and the messages queued after it in one call. It
+// sends nothing when the link is closed meanwhile.
 func (r *Replica) sendBatch(l *link, first raft.Message) {
 	select {
 	case l.callSlots <- struct{}{}:
 	case <-r.stopping:
 		return
+	case <-l.stop:
+		return
 	}
-	if l.callFailed.Swap(false) {
-		l.stream, l.sequence = l.stream+1, 0
-		r.sleep(r.cfg.Tick)
+	if r.streams.hasFailed(l) {
+		l.sleep(r.cfg.Tick, r.stopping)
+	}
+	stream, sequence, ok := r.streams.nextCall(l)
+	if !ok {
+		return
 	}
-	l.sequence++
 	args := DeliverArgs{
-		Stamp: r.currentStamp(), From: r.nodeID, To: l.node, Boot: r.freshness.bootID, Stream: l.stream, Sequence: l.sequence,
+		Stamp: r.currentStamp(), From: r.nodeID, To: l.node, Boot: r.freshness.bootID, Stream: stream, Sequence: sequence,
 	}
 	if args.Sequence == 1 {
 		args.Address = r.cfg.Address
@@ -151,7 +207,7 @@
 		defer func() { <-l.callSlots }()
 		address, ok := r.address(l.node)
 		if !ok || r.call(address, "Deliver", args, &Empty{}) != nil {
-			l.callFailed.Store(true)
+			r.streams.callFailed(l, stream)
 		}
 	})
 }
@@ -170,13 +226,14 @@
 	return size
 }
 
-// sleep waits for d or until the replica stops.
-func (r *Replica) sleep(d time.Duration) {
+// sleep waits for d, until the link is closed or until the replica stops.
+func (l *link) sleep(d time.Duration, stopping <-chan struct{}) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-	case <-r.stopping:
+	case <-l.stop:
+	case <-stopping:
 	}
 }
 
@@ -311,7 +368,8 @@
 }
 
 // receiveInOrder passes calls to receive in the order of their sequence numbers: it keeps a call until the earlier
-// ones have arrived. Late calls of an earlier stream are dropped; raft retransmits.
+// ones have arrived. It returns ErrStaleStream for a call of an earlier stream, so that a sender that is not heard begins a new
+// stream. A late call of the current stream is dropped; raft retransmits.
 func (in *inboundCalls) receiveInOrder(args DeliverArgs, receive func(DeliverArgs) error) error {
 	in.mu.Lock()
 	defer in.mu.Unlock()
@@ -323,7 +381,10 @@
 		}
 		in.boot, in.stream, in.next, in.waiting = args.Boot, args.Stream, first, map[uint64]DeliverArgs{}
 	}
-	if args.Stream < in.stream || args.Sequence < in.next {
+	if args.Stream < in.stream {
+		return ErrStaleStream.New("call %d of stream %d from %s, the current stream is %d", args.Sequence, args.Stream, args.From, in.stream)
+	}
+	if args.Sequence < in.next {
 		return nil
 	}
 	in.waiting[args.Sequence] = args
--- a/server/replica/transport_test.go
+++ b/server/replica/transport_test.go
@@ -9,22 +9,24 @@
 )
 
 // TestCallOrder guards against messages that are processed out of order because net/rpc reorders calls, against a lost
-// call that blocks all later ones, and against late calls of an earlier stream.
+// call that blocks all later ones, and against late calls of an earlier stream that are processed or reported as accepted.
 func TestCallOrder(t *testing.T) {
 	type call struct{ boot, stream, sequence uint64 }
 	for name, test := range map[string]struct {
 		calls []call
 		want  []int
+		// rejected are the positions of the calls that are rejected with ErrStaleStream.
+		rejected []int
 	}{
-		"reordered":        {[]call{{1, 1, 2}, {1, 1, 3}, {1, 1, 1}}, []int{2, 0, 1}},
-		"repeated":         {[]call{{1, 1, 1}, {1, 1, 1}, {1, 1, 2}}, []int{0, 2}},
-		"broken stream":    {[]call{{1, 1, 1}, {1, 1, 3}, {1, 2, 1}, {1, 1, 2}, {1, 2, 2}}, []int{0, 2, 4}},
-		"sender restart":   {[]call{{1, 4, 1}, {2, 1, 1}, {2, 1, 2}}, []int{0, 1, 2}},
-		"receiver restart": {[]call{{1, 4, 57}, {1, 4, 58}}, []int{0, 1}},
+		"reordered":        {[]call{{1, 1, 2}, {1, 1, 3}, {1, 1, 1}}, []int{2, 0, 1}, nil},
+		"repeated":         {[]call{{1, 1, 1}, {1, 1, 1}, {1, 1, 2}}, []int{0, 2}, nil},
+		"broken stream":    {[]call{{1, 1, 1}, {1, 1, 3}, {1, 2, 1}, {1, 1, 2}, {1, 2, 2}}, []int{0, 2, 4}, []int{3}},
+		"sender restart":   {[]call{{1, 4, 1}, {2, 1, 1}, {2, 1, 2}}, []int{0, 1, 2}, nil},
+		"receiver restart": {[]call{{1, 4, 57}, {1, 4, 58}}, []int{0, 1}, nil},
 		"lost call": {[]call{{1, 1, 2}, {1, 1, 3}, {1, 1, 4}, {1, 1, 5}, {1, 1, 6}, {1, 1, 7}, {1, 1, 8}, {1, 1, 9},
-			{1, 1, 10}}, []int{0, 1, 2, 3, 4, 5, 6, 7, 8}},
+			{1, 1, 10}}, []int{0, 1, 2, 3, 4, 5, 6, 7, 8}, nil},
 	} {
-		in, got := &inboundCalls{boot: 9}, []int(nil)
+		in, got, rejected := &inboundCalls{boot: 9}, []int(nil), []int(nil)
 		if name == "receiver restart" {
 			in.boot = 0
 		}
@@ -35,12 +37,14 @@
 				got = append(got, int(next.Messages[0].Index))
 				return nil
 			})
-			if err != nil {
+			if ErrStaleStream.Has(err) {
+				rejected = append(rejected, i)
+			} else if err != nil {
 				t.Fatal(err)
 			}
 		}
-		if !reflect.DeepEqual(got, test.want) {
-			t.Errorf("%s: delivered %v, want %v", name, got, test.want)
+		if !reflect.DeepEqual(got, test.want) || !reflect.DeepEqual(rejected, test.rejected) {
+			t.Errorf("%s: delivered %v and rejected %v, want %v and %v", name, got, rejected, test.want, test.rejected)
 		}
 	}
 }
