replica: the leader's status has a membership change before its proposer returns

Seen: TestPlannedStopAboveTheGroupSizeRemovesTheVoter/follower failed once on a loaded machine (join_test.go:162, six voters after the planned stop of c4). Reproduced on the unchanged code: 1 of 8 runs without a load of its own, and 2 of 30 beside three busy processes (load average 20), with the race detector. Cause: the removal is not lost. The log of a failed run shows it committed at entry 6 and departed removed=true, and 3 ms later the test reads Status, which was published at the last tick (50 ms). The whole of the stop, the two kills and the proposal took less than a tick, so the status was that of before the removal. Change: the status is published when a membership change is committed, before its entry is passed on to be applied, so whoever proposed the change or announced its stop reads it. An operator who checks a removal at once no longer sees the removed member. Measured: TestStatusHasACommittedMembershipChange fails on the unchanged code in 5 runs of 5 ("c5 is a member in the status right after its removal") and passes in 5 of 5 with the change. The test that failed passes unchanged in 60 of 60 runs beside three busy processes (load average 35), with the race detector.

--- a/server/replica/join_test.go
+++ b/server/replica/join_test.go
@@ -165,6 +165,30 @@
 	}
 }
 
+// Guards against a leader whose Status still names a removed member after the removal has returned: operators and tests that check
+// the result of a change would take it for lost.
+func TestStatusHasACommittedMembershipChange(t *testing.T) {
+	c := newCluster(t, 5, withSlowRemoval(5))
+	c.propose("a")
+	leader := c.leader()
+	for range 2 {
+		removed := ""
+		for _, m := range leader.Status().Members {
+			if m.ID != leader.id {
+				removed = m.ID
+			}
+		}
+		if err := leader.Remove(contextWithTimeout(t, 5*time.Second), removed); err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range leader.Status().Members {
+			if m.ID == removed {
+				t.Errorf("%s is a member in the status right after its removal", removed)
+			}
+		}
+	}
+}
+
 // otherThan returns a running replica that is none of the given ones.
 func (c *cluster) otherThan(ids ...string) string {
 	c.t.Helper()
--- a/server/replica/loop.go
+++ b/server/replica/loop.go
@@ -216,6 +216,8 @@
 func (r *Replica) membershipCommitted(e raft.Entry) {
 	r.addMemberAddresses()
 	r.closeUnusedLinks()
+	// The entry is applied after this, so that whoever proposed it reads the new membership in Status.
+	r.publishStatus()
 	var names []string
 	for _, m := range r.node.MembersAt(e.Index) {
 		role := "learner"
--- a/server/replica/replica.go
+++ b/server/replica/replica.go
@@ -418,7 +418,8 @@
 	return max(0, now.Sub(at)), true
 }
 
-// Status implements Log. Apart from Applied it is up to one tick old.
+// Status implements Log. It is up to one tick old, apart from Applied, and from Members, which on the leader have each change before
+// the call that proposed it returns.
 func (r *Replica) Status() Status {
 	status := r.status.Load()
 	status.Applied = r.applier.appliedIndex()
