replica: test that the group returns to its size beside a departed voter

A voter that announced its stop while it was needed stays a dead voter until a learner is promoted, after which it is surplus. The test plays the observed schedule: a voter is partitioned and removed, a successor is a voter, the replaced one stops as planned, the partition ends; two data folders are lost then.

--- a/server/replica/partition_test.go
+++ b/server/replica/partition_test.go
@@ -1,6 +1,7 @@
 package replica_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -126,3 +127,41 @@
 	c.propose("e")
 	c.awaitSameCommands(7)
 }
+
+// Guards against a group that stays below its size in live voters while a voter that announced its stop is dead: the stopped one was
+// needed because a partitioned voter had been removed, which then joins again. Two lost data folders would end the group.
+func TestGroupReturnsToItsSizeBesideADepartedVoter(t *testing.T) {
+	for _, leaderChanges := range []bool{false, true} {
+		t.Run(fmt.Sprint("leader changes ", leaderChanges), func(t *testing.T) {
+			c := newClusterOn(t, newFaultNetwork(), 5, withPartitions(5))
+			c.propose("a")
+			c.awaitSameCommands(1)
+			leader := c.leader().id
+			old := c.otherThan(leader)
+			cut := c.otherThan(leader, old)
+			c.interrupt(cut)
+			c.partition(cut, lostBothWays)
+			c.add("c6")
+			c.eventually("the successor is a voter and the partitioned one is removed", func() bool {
+				v := c.voters()
+				return v["c6"] && !v[cut]
+			})
+			c.stop(old)
+			delete(c.nodes, old)
+			if v := c.voters(); !v[old] {
+				t.Fatalf("voters %v: %s was not needed", v, old)
+			}
+			if leaderChanges {
+				// The next leader does not know of the announcement.
+				c.propose("b")
+				c.transferLeadership()
+			}
+			c.partition(cut, "")
+			c.awaitVoters("the voters are the five running replicas")
+			for range 2 {
+				c.kill(c.otherThan())
+			}
+			c.propose("c")
+		})
+	}
+}
