replica, daemon: report a learner that asks to join and makes no progress

Cause: during the fault of the streams the only traces were join lines with progress=catching_up and silent_voter_leaves, and nothing said what the learner waited for. Change: the leader observes the join requests of each node that is not admitted, across removals of the learner. Status.StalledLearners and the gauge clementinetray_control_stalled_learners count them. raft.Node.Awaited says what the leader waits for. The gauge has no test of its own.

--- a/server/daemon/listen.go
+++ b/server/daemon/listen.go
@@ -175,6 +175,15 @@
 		}
 		return 0
 	}))
+	d.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "clementinetray_control_stalled_learners",
+		Help: "Replicas that ask this control leader to join the group and make no progress; 0 elsewhere.",
+	}, func() float64 {
+		if d.replica == nil {
+			return 0
+		}
+		return float64(d.replica.Status().StalledLearners)
+	}))
 	router := chi.NewRouter()
 	router.Handle("/metrics", promhttp.HandlerFor(d.Registry, promhttp.HandlerOpts{}))
 	router.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
--- a/server/raft/leader.go
+++ b/server/raft/leader.go
@@ -382,3 +382,35 @@
 	}
 	return 0, false
 }
+
+// Awaited is what the leader waits for from another node.
+type Awaited string
+
+const (
+	// AwaitedMembership means that the node is not a member.
+	AwaitedMembership Awaited = "membership_change"
+	// AwaitedFirstReply means that the node has not replied since it was added or since this node became the leader.
+	AwaitedFirstReply Awaited = "first_reply"
+	// AwaitedReply means that the node has not replied within the last election timeout.
+	AwaitedReply Awaited = "reply"
+	// AwaitedSnapshot means that a snapshot was sent and the node has not confirmed it.
+	AwaitedSnapshot Awaited = "snapshot"
+	// AwaitedEntries means that the node replies and has not confirmed all entries.
+	AwaitedEntries Awaited = "entries"
+)
+
+// Awaited returns what this leader waits for from the node.
+func (n *Node) Awaited(node NodeID) Awaited {
+	p := n.progress[node]
+	switch {
+	case p == nil:
+		return AwaitedMembership
+	case p.state == installing:
+		return AwaitedSnapshot
+	case p.ackedRound == 0:
+		return AwaitedFirstReply
+	case p.ticksSinceReply > n.cfg.ElectionTicks:
+		return AwaitedReply
+	}
+	return AwaitedEntries
+}
--- a/server/replica/contract.go
+++ b/server/replica/contract.go
@@ -101,6 +101,9 @@
 	LeaderID    string
 	// Members is the newest committed membership.
 	Members []MemberStatus
+	// StalledLearners is the number of replicas that ask to join and have made no progress for two UnresponsiveTimeouts; 0 on
+	// followers.
+	StalledLearners int
 }
 
 // MemberStatus is the state of one member of the group.
--- a/server/replica/loop.go
+++ b/server/replica/loop.go
@@ -295,7 +295,7 @@
 func (r *Replica) publishStatus() {
 	status := Status{
 		ID: r.cfg.ID, Node: string(r.nodeID), Term: r.node.Term(), CommitIndex: r.node.CommitIndex(),
-		LeaderID: memberID(r.node.Leader()),
+		LeaderID: memberID(r.node.Leader()), StalledLearners: r.stalledLearners(time.Now()),
 	}
 	for _, m := range r.node.CommittedMembers() {
 		match, active := r.node.MatchIndex(m.Node)
--- a/server/replica/membership.go
+++ b/server/replica/membership.go
@@ -64,6 +64,9 @@
 	err := s.r.enqueue(func() {
 		s.r.storeJoinRequest(args)
 		reply.Progress, result = s.r.advanceAdmission(args)
+		if result == nil {
+			s.r.observeAdmission(args.Node, reply.Progress, time.Now())
+		}
 		close(done)
 	})
 	if err != nil {
--- a/server/replica/replica.go
+++ b/server/replica/replica.go
@@ -96,6 +96,8 @@
 	// departures holds, for each member that announced its planned stop to this leader and was not removed, the time of the
 	// announcement.
 	departures map[raft.NodeID]time.Time
+	// admissions holds the nodes that ask this leader to join and are not admitted yet.
+	admissions map[raft.NodeID]*admission
 	// joinRequests holds the requests of replicas that asked to join before the group was created, by replica id.
 	joinRequests map[string]JoinArgs
 	// Index and term of the last entry passed to the apply loop.
@@ -139,7 +141,8 @@
 	r := &Replica{
 		cfg: cfg, nodeID: storage.identity.nodeID(), freshness: newFreshness(), applier: newApplier(cfg.StateMachine),
 		startedAt: time.Now(), unresponsiveSince: map[raft.NodeID]time.Time{}, departures: map[raft.NodeID]time.Time{}, joinRequests: map[string]JoinArgs{},
-		tasks: make(chan func(), taskQueueLength), appliedSignal: make(chan struct{}, 1),
+		admissions: map[raft.NodeID]*admission{},
+		tasks:      make(chan func(), taskQueueLength), appliedSignal: make(chan struct{}, 1),
 		stopping: make(chan struct{}), done: make(chan struct{}),
 		leadership: blackboard.NewSection(Leadership{}), status: blackboard.NewSection(Status{ID: cfg.ID, Node: string(storage.identity.nodeID())}),
 		addresses: map[raft.NodeID]string{}, inbound: map[raft.NodeID]*inboundCalls{}, storage: storage, links: map[raft.NodeID]*link{},
--- a/server/replica/transport.go
+++ b/server/replica/transport.go
@@ -77,6 +77,8 @@
 	stream, sequence uint64
 	// failedStream is the newest stream with a failed call.
 	failedStream uint64
+	// lastError is the error of the last call that ended; nil when it succeeded.
+	lastError error
 }
 
 func newLink(node raft.NodeID) *link {
@@ -110,11 +112,24 @@
 	return l.stream, l.sequence, true
 }
 
-// callFailed records a failed call of a stream. Late failures of an earlier stream don't end the current one.
-func (s *streams) callFailed(l *link, stream uint64) {
+// callEnded records the result of a call of a stream. Late failures of an earlier stream don't end the current one.
+func (s *streams) callEnded(l *link, stream uint64, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l.failedStream = max(l.failedStream, stream)
+	l.lastError = err
+	if err != nil {
+		l.failedStream = max(l.failedStream, stream)
+	}
+}
+
+// lastError returns the error text of the last call of the link that ended; empty when it succeeded or there is no link.
+func (s *streams) lastError(l *link) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l == nil || l.lastError == nil {
+		return ""
+	}
+	return l.lastError.Error()
 }
 
 // hasFailed reports whether a call of the current stream failed.
@@ -205,10 +220,11 @@
 	}
 	r.goroutines.Go(func() {
 		defer func() { <-l.callSlots }()
-		address, ok := r.address(l.node)
-		if !ok || r.call(address, "Deliver", args, &Empty{}) != nil {
-			r.streams.callFailed(l, stream)
+		err := Error.New("the address of %s is not known", l.node)
+		if address, ok := r.address(l.node); ok {
+			err = r.call(address, "Deliver", args, &Empty{})
 		}
+		r.streams.callEnded(l, stream, err)
 	})
 }
 
