controlsvc: a repeated heartbeat counts once after the instance was removed as silent

Cause: the table of entry instances forgot the sequence number of a boot with its removal, so a heartbeat whose reply was lost and that was repeated after 5 s of silence counted as new, and its outcomes and suspect reports were added twice. The same held for the last heartbeat of a leaving instance when it was repeated. Measured: both new specs fail before the change (3 outcomes instead of 2); the package passes with the race detector.

--- a/server/controlsvc/members.go
+++ b/server/controlsvc/members.go
@@ -26,6 +26,10 @@
 	// oldest first.
 	retired      map[controlstate.Holder]bool
 	retiredOrder []controlstate.Holder
+	// removedSequences holds the last sequence number of the boots that were removed without being replaced, so that a repeated
+	// heartbeat of a boot that is heard again doesn't count twice. removedOrder lists them, oldest first.
+	removedSequences map[controlstate.Holder]uint64
+	removedOrder     []controlstate.Holder
 }
 
 type member struct {
@@ -57,6 +61,21 @@
 	t.missingSince = map[controlstate.Holder]time.Time{}
 	t.retired = map[controlstate.Holder]bool{}
 	t.retiredOrder = nil
+	t.removedSequences = map[controlstate.Holder]uint64{}
+	t.removedOrder = nil
+}
+
+// remove removes a boot that may be heard again.
+func (t *memberTable) remove(h controlstate.Holder, m *member) {
+	delete(t.byInstance, h.Instance)
+	if _, known := t.removedSequences[h]; !known {
+		t.removedOrder = append(t.removedOrder, h)
+	}
+	t.removedSequences[h] = m.sequence
+	if len(t.removedOrder) > maxRetiredBoots {
+		delete(t.removedSequences, t.removedOrder[0])
+		t.removedOrder = t.removedOrder[1:]
+	}
 }
 
 func (t *memberTable) recordHeartbeat(now time.Time, in *control.HeartbeatRequest) heartbeatEffect {
@@ -74,9 +93,10 @@
 		m = nil
 	}
 	if m == nil {
-		m = &member{boot: in.Boot}
+		sequence, wasRemoved := t.removedSequences[holder]
+		m = &member{boot: in.Boot, sequence: sequence}
 		t.byInstance[in.Instance] = m
-		effect.joined, effect.newCounts = true, true
+		effect.joined, effect.newCounts = true, !wasRemoved
 	}
 	effect.newCounts = effect.newCounts || in.Sequence > m.sequence
 	m.lastSeen, m.sequence = now, max(m.sequence, in.Sequence)
@@ -84,7 +104,7 @@
 	// grants.
 	if in.Leaving && len(in.Slots) == 0 {
 		effect.left = true
-		delete(t.byInstance, in.Instance)
+		t.remove(holder, m)
 		t.missingSince[holder] = now
 	}
 	return effect
@@ -114,7 +134,7 @@
 		if now.Sub(m.lastSeen) >= HeartbeatTimeout {
 			h := controlstate.Holder{Instance: instance, Boot: m.boot}
 			removed = append(removed, h)
-			delete(t.byInstance, instance)
+			t.remove(h, m)
 			t.missingSince[h] = m.lastSeen
 		}
 	}
--- a/server/controlsvc/members_test.go
+++ b/server/controlsvc/members_test.go
@@ -94,6 +94,22 @@
 		Expect(sendHeartbeat(heartbeat("b1", 2))).To(Succeed())
 		Expect(b.sink.outcomes).To(Equal(2))
 	})
+	It("counts the outcomes of a heartbeat once that is repeated after the instance was removed as silent", func() {
+		Expect(sendHeartbeat(heartbeat("b1", 2))).To(Succeed())
+		b.clock.advance(HeartbeatTimeout)
+		sweep()
+		Expect(sendHeartbeat(heartbeat("b1", 2))).To(Succeed())
+		Expect(b.sink.outcomes).To(Equal(2))
+		Expect(sendHeartbeat(heartbeat("b1", 3))).To(Succeed())
+		Expect(b.sink.outcomes).To(Equal(3))
+	})
+	It("counts the outcomes of the last heartbeat of a leaving instance once", func() {
+		in := heartbeat("b1", 2)
+		in.Leaving = true
+		Expect(sendHeartbeat(in)).To(Succeed())
+		Expect(sendHeartbeat(in)).To(Succeed())
+		Expect(b.sink.outcomes).To(Equal(2))
+	})
 	It("ends the grants of a leaving instance once it holds no slot", func() {
 		in := heartbeat("b1", 2)
 		in.Leaving, in.Slots = true, []control.Slot{{Key: "suspect/s", ID: "1"}}
