replica: transfers and silence from before a removal have no effect after it

Cause, silence: the times since which members are unresponsive outlived the leadership and the removal. A leader that regains the leadership removed a member after one election timeout if it had been silent in an earlier one and no tick saw it active. Change: a transfer goes on only if it has the term and at least the index of the new message, is cancelled otherwise and at the removal, and a cancelled one reports nothing. The times are dropped for nodes that are no members, and by a replica that does not lead.

--- a/server/replica/admission.go
+++ b/server/replica/admission.go
@@ -61,7 +61,7 @@
 // awaited describes what a learner waits for.
 func (r *Replica) awaited(node raft.NodeID) string {
 	awaited := r.node.Awaited(node)
-	if awaited == raft.AwaitedSnapshot && r.sendingSnapshot[node] {
+	if awaited == raft.AwaitedSnapshot && r.snapshotTransfers[node] != nil {
 		return "snapshot_transfer"
 	}
 	return string(awaited)
--- a/server/replica/link_test.go
+++ b/server/replica/link_test.go
@@ -208,3 +208,155 @@
 		t.Errorf("the first call of a restarted sender was rejected: %v", err)
 	}
 }
+
+// scriptedSnapshotReceiver is scriptedReceiver for the chunks of snapshots.
+type scriptedSnapshotReceiver struct{ chunks chan *receivedChunk }
+
+type receivedChunk struct {
+	args    ChunkArgs
+	outcome chan error
+}
+
+// InstallChunk is the method that replicas call.
+func (s *scriptedSnapshotReceiver) InstallChunk(args ChunkArgs, _ *Empty) error {
+	chunk := &receivedChunk{args: args, outcome: make(chan error, 1)}
+	s.chunks <- chunk
+	return <-chunk.outcome
+}
+
+// await returns the next chunk that arrives, nil if none does within a second.
+func (s *scriptedSnapshotReceiver) await() *receivedChunk {
+	select {
+	case chunk := <-s.chunks:
+		return chunk
+	case <-time.After(time.Second):
+		return nil
+	}
+}
+
+// newSnapshotTest returns a replica that sends snapshots to the node "to", and the receiver of these.
+func newSnapshotTest(t *testing.T) (*Replica, *scriptedSnapshotReceiver) {
+	t.Helper()
+	secret, logger := []byte("test secret"), slog.New(slog.DiscardHandler)
+	server, err := peer.Listen("127.0.0.1:0", secret, logger)
+	if err != nil {
+		t.Fatal(err)
+	}
+	receiver := &scriptedSnapshotReceiver{make(chan *receivedChunk, 8)}
+	if err := server.Register(serviceName, receiver); err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve() }()
+	cfg := Config{
+		ID: "from", Address: "127.0.0.1:1", DataDir: t.TempDir(), Pool: peer.NewPool(secret, time.Second), Server: server,
+		StateMachine: emptyState{}, CallTimeout: 20 * time.Second,
+	}
+	cfg.setDefaults()
+	storage, recovered, err := openStorage(cfg.FS, cfg.DataDir, cfg.ID)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := newReplica(cfg, storage, recovered)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.setAddress("to", server.Address())
+	t.Cleanup(func() {
+		r.signalStop()
+		_ = server.Close()
+		r.cfg.Pool.Close()
+		r.goroutines.Wait()
+		_ = storage.close()
+	})
+	return r, receiver
+}
+
+type emptyState struct{}
+
+func (emptyState) Apply(uint64, []byte) any  { return nil }
+func (emptyState) Snapshot() ([]byte, error) { return nil, nil }
+func (emptyState) Restore([]byte) error      { return nil }
+
+// Guards against a learner that waits for the snapshot time-out after it was added again: a transfer that began before its removal
+// holds a snapshot that is too old, or a message of an earlier term, which the learner drops.
+func TestSnapshotTransferIsReplaced(t *testing.T) {
+	message := func(term, index uint64) raft.Message {
+		return raft.Message{Kind: raft.InstallSnapshot, To: "to", Term: term, Snapshot: &raft.Snapshot{Meta: raft.SnapshotMeta{Index: index, Term: 1}}}
+	}
+	for name, test := range map[string]struct {
+		remove      bool
+		term, index uint64
+		wantNew     bool
+	}{
+		"newer snapshot":       {false, 3, 9, true},
+		"later term":           {false, 4, 7, true},
+		"repeated":             {false, 3, 7, false},
+		"removed and repeated": {true, 3, 7, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, receiver := newSnapshotTest(t)
+			if err := r.storage.saveSnapshot(raft.SnapshotMeta{Index: 7, Term: 1}, []byte("first")); err != nil {
+				t.Fatal(err)
+			}
+			r.sendSnapshot(message(3, 7))
+			first := receiver.await()
+			if first == nil {
+				t.Fatal("no snapshot arrived")
+			}
+			defer func() { first.outcome <- nil }()
+			if err := r.storage.saveSnapshot(raft.SnapshotMeta{Index: 9, Term: 1}, []byte("second")); err != nil {
+				t.Fatal(err)
+			}
+			if test.remove {
+				r.closeUnusedLinks()
+			}
+			r.sendSnapshot(message(test.term, test.index))
+			second := receiver.await()
+			if (second != nil) != test.wantNew {
+				t.Fatalf("a new transfer began: %t, want %t", second != nil, test.wantNew)
+			}
+			if second == nil {
+				return
+			}
+			defer func() { second.outcome <- nil }()
+			if m := second.args.Message; m.Term != test.term || m.Snapshot.Meta.Index != 9 {
+				t.Errorf("the new transfer sends entry %d in term %d, want entry 9 in term %d", m.Snapshot.Meta.Index, m.Term, test.term)
+			}
+		})
+	}
+}
+
+// Guards against the removal of a member that was silent in an earlier leadership or before its removal only.
+func TestSilenceIsForgotten(t *testing.T) {
+	data, err := raft.Membership{{Node: "from", ID: "from", Voter: true}}.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	node, err := raft.New(raft.Config{Node: "from", Rand: rand.IntN}, raft.State{
+		HardState: raft.HardState{Term: 1}, Entries: []raft.Entry{{Index: 1, Term: 1, Kind: raft.EntryMembership, Data: data}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &Replica{node: node, unresponsiveSince: map[raft.NodeID]time.Time{"from": time.Now(), "removed": time.Now()}}
+	for range 100 {
+		node.Tick()
+		ready := node.Ready()
+		node.Advance(ready)
+	}
+	if node.Role() != raft.Leader {
+		t.Fatal("the only voter does not lead")
+	}
+	r.dropOldSilence()
+	if _, kept := r.unresponsiveSince["from"]; !kept || len(r.unresponsiveSince) != 1 {
+		t.Errorf("the leader keeps %v, want the time of its member only", r.unresponsiveSince)
+	}
+	r.node, err = raft.New(raft.Config{Node: "from", Rand: rand.IntN}, raft.State{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.advanceMembership()
+	if len(r.unresponsiveSince) != 0 {
+		t.Errorf("a follower keeps %v", r.unresponsiveSince)
+	}
+}
--- a/server/replica/membership.go
+++ b/server/replica/membership.go
@@ -171,6 +171,7 @@
 // unresponsive surplus member. It runs at each tick of the leader, because under load a replica has all entries up to
 // the commit index only for short moments, which a less frequent check would miss.
 func (r *Replica) advanceMembership() {
+	r.dropOldSilence()
 	if !r.node.CanServeAsLeader() {
 		return
 	}
@@ -190,6 +191,15 @@
 	}
 }
 
+// dropOldSilence forgets since when members are unresponsive when they are removed or when this replica does not lead: a member that
+// is added again, or that a later leadership of this replica finds silent, has the whole UnresponsiveTimeout.
+func (r *Replica) dropOldSilence() {
+	maps.DeleteFunc(r.unresponsiveSince, func(node raft.NodeID, _ time.Time) bool {
+		_, member := r.node.Members().Find(node)
+		return !member || r.node.Role() != raft.Leader
+	})
+}
+
 // maxExtraMembers is how many members more than GroupSize the group may have when a replica joins before an unresponsive
 // one is removed.
 const maxExtraMembers = 2
--- a/server/replica/replica.go
+++ b/server/replica/replica.go
@@ -80,8 +80,8 @@
 	node    *raft.Node
 	storage *storage
 	links   map[raft.NodeID]*link
-	// sendingSnapshot holds the nodes to which a snapshot is being sent.
-	sendingSnapshot map[raft.NodeID]bool
+	// snapshotTransfers holds the snapshots that are being sent, by receiver.
+	snapshotTransfers map[raft.NodeID]*snapshotTransfer
 	// waiters holds the proposals that are not committed yet, by log index.
 	waiters map[uint64]*waiter
 	// pendingBytes is the size of the commands in waiters, in bytes.
@@ -146,7 +146,7 @@
 		stopping: make(chan struct{}), done: make(chan struct{}),
 		leadership: blackboard.NewSection(Leadership{}), status: blackboard.NewSection(Status{ID: cfg.ID, Node: string(storage.identity.nodeID())}),
 		addresses: map[raft.NodeID]string{}, inbound: map[raft.NodeID]*inboundCalls{}, storage: storage, links: map[raft.NodeID]*link{},
-		sendingSnapshot: map[raft.NodeID]bool{}, waiters: map[uint64]*waiter{}, pendingReads: map[uint64]chan raft.ReadState{},
+		snapshotTransfers: map[raft.NodeID]*snapshotTransfer{}, waiters: map[uint64]*waiter{}, pendingReads: map[uint64]chan raft.ReadState{},
 	}
 	var err error
 	if r.leadershipWriter, err = r.leadership.Writer(); err != nil {
--- a/server/replica/transport.go
+++ b/server/replica/transport.go
@@ -166,8 +166,14 @@
 	}
 }
 
-// closeUnusedLinks closes the links to nodes that are no longer members and whose queues are empty.
+// closeUnusedLinks closes the links to nodes that are no longer members and whose queues are empty. It cancels the snapshot transfers to
+// nodes that are no longer members.
 func (r *Replica) closeUnusedLinks() {
+	for node := range r.snapshotTransfers {
+		if _, member := r.node.Members().Find(node); !member {
+			r.cancelSnapshot(node)
+		}
+	}
 	for node, l := range r.links {
 		if _, member := r.node.Members().Find(node); !member && len(l.queue) == 0 {
 			r.streams.close(l)
@@ -253,27 +259,50 @@
 	}
 }
 
-// sendSnapshot starts to send the newest snapshot to the receiver of the message, unless a snapshot is being sent there
-// already.
+// snapshotTransfer is a snapshot that is being sent to one node.
+type snapshotTransfer struct {
+	// term is the term of the InstallSnapshot message, and index the last entry that the snapshot holds at least.
+	term, index uint64
+	cancel      context.CancelFunc
+}
+
+// sendSnapshot starts to send the newest snapshot to the receiver of the message. A transfer that is under way goes on if its result
+// is valid for the message; otherwise it is cancelled. The receiver drops one of an earlier term, and an older snapshot
+// leaves a gap to the entries that the leader still has.
 func (r *Replica) sendSnapshot(m raft.Message) {
-	if r.sendingSnapshot[m.To] {
+	if t := r.snapshotTransfers[m.To]; t != nil && t.term == m.Term && t.index >= m.Snapshot.Meta.Index {
 		return
 	}
-	r.sendingSnapshot[m.To] = true
+	r.cancelSnapshot(m.To)
+	ctx, cancel := context.WithCancel(r.ctx)
+	t := &snapshotTransfer{term: m.Term, index: m.Snapshot.Meta.Index, cancel: cancel}
+	r.snapshotTransfers[m.To] = t
 	r.goroutines.Go(func() {
-		err := r.sendSnapshotChunks(m)
+		err := r.sendSnapshotChunks(ctx, m)
 		if err != nil {
 			r.cfg.Logger.Warn("snapshot_transfer_failed", "to", m.To, "error", err.Error())
 		}
-		r.enqueue(func() {
-			delete(r.sendingSnapshot, m.To)
+		_ = r.enqueue(func() {
+			if r.snapshotTransfers[m.To] != t {
+				// It was cancelled: its result says nothing about the state of the node now.
+				return
+			}
+			r.cancelSnapshot(m.To)
 			r.node.ReportSnapshot(m.To, err == nil)
 		})
 	})
 }
 
-// sendSnapshotChunks sends the newest snapshot in chunks, one call after the other.
-func (r *Replica) sendSnapshotChunks(m raft.Message) error {
+// cancelSnapshot ends the transfer to the node, if there is one.
+func (r *Replica) cancelSnapshot(to raft.NodeID) {
+	if t := r.snapshotTransfers[to]; t != nil {
+		t.cancel()
+		delete(r.snapshotTransfers, to)
+	}
+}
+
+// sendSnapshotChunks sends the newest snapshot in chunks, one call after the other, until ctx ends.
+func (r *Replica) sendSnapshotChunks(ctx context.Context, m raft.Message) error {
 	snap, err := r.storage.snapshots.Load()
 	if err != nil {
 		r.fail(err)
@@ -292,8 +321,8 @@
 	for {
 		end := min(args.Offset+chunkBytes, args.Total)
 		args.Data = snap.Data[args.Offset:end]
-		ctx, cancel := context.WithTimeout(r.ctx, r.cfg.CallTimeout)
-		err := r.cfg.Pool.Call(ctx, address, serviceName+".InstallChunk", args, &Empty{})
+		callCtx, cancel := context.WithTimeout(ctx, r.cfg.CallTimeout)
+		err := r.cfg.Pool.Call(callCtx, address, serviceName+".InstallChunk", args, &Empty{})
 		cancel()
 		if err != nil || end == args.Total {
 			return err
