replica: partitions among the disturbances of the schedules of replacements

The schedules had suspensions, stops and lost folders, but no partition, so they could not meet the fault of the streams. Each one now has a planned replacement beside a partition of another replica (one way in or out, both ways, reset; up to 2 s, four times UnresponsiveTimeout), and partitions are among the random pairs. Calls time out after 500 ms in them, so that they fail during most partitions. The schedules of a seed are others than before.

--- a/server/replica/cluster_test.go
+++ b/server/replica/cluster_test.go
@@ -133,7 +133,9 @@
 		c.t.Fatal(err)
 	}
 	n.Replica = r
-	go func() { _ = n.server.Serve() }()
+	// A restart replaces n.server, possibly before the goroutine has read it.
+	server := n.server
+	go func() { _ = server.Serve() }()
 }
 
 // kill closes the connections of a replica and stops it without a transfer of leadership.
@@ -222,7 +224,11 @@
 	c.t.Helper()
 	for ctx.Err() == nil {
 		leader := c.leader()
-		if err := leader.ReadIndex(ctx); err != nil {
+		// A partitioned replica may be the leader found here and can't confirm a read any more.
+		readCtx, cancel := context.WithTimeout(ctx, time.Second)
+		err := leader.ReadIndex(readCtx)
+		cancel()
+		if err != nil {
 			continue
 		}
 		found := 0
--- a/server/replica/replacement_test.go
+++ b/server/replica/replacement_test.go
@@ -34,8 +34,10 @@
 	s := &replacements{rnd: rand.New(rand.NewPCG(seed, 2))}
 	var mu sync.Mutex // guards addresses
 	var addresses []string
-	s.cluster = newCluster(t, 5, func(cfg *replica.Config) {
+	s.cluster = newClusterOn(t, newFaultNetwork(), 5, func(cfg *replica.Config) {
 		withGroupSize(5)(cfg)
+		// Shorter than most partitions, so that calls fail in them.
+		cfg.CallTimeout = 500 * time.Millisecond
 		mu.Lock()
 		defer mu.Unlock()
 		addresses = append(addresses, cfg.Address)
@@ -64,9 +66,21 @@
 	return []func(){func() { s.kill(id) }, func() { time.Sleep(pause) }, func() { s.restart(id) }}
 }}
 
+// partitioned cuts the replica from all others for up to four times UnresponsiveTimeout, so that it may be removed meanwhile.
+func partitioned(kind partition) disturbance {
+	return disturbance{"partition " + string(kind), func(s *replacements, id string) []func() {
+		pause := time.Duration(s.rnd.IntN(2000)) * time.Millisecond
+		return []func(){func() { s.partition(id, kind) }, func() { time.Sleep(pause) }, func() { s.partition(id, "") }}
+	}}
+}
+
 var disturbances = []disturbance{
 	plannedReplacement,
 	suspension,
+	partitioned(lostOutbound),
+	partitioned(lostInbound),
+	partitioned(lostBothWays),
+	partitioned(connectionsReset),
 	{"replacement without a signal", func(s *replacements, id string) []func() {
 		next := s.successor()
 		return []func(){func() { s.kill(id); delete(s.nodes, id) }, func() { s.add(next) }, func() { s.awaitVoter(next) }}
@@ -165,8 +179,8 @@
 	s.awaitHealed()
 }
 
-// Guards against a group that does not return to its size in live voters after replacements, suspensions, restarts and lost data
-// folders that overlap, and against commands that two more lost data folders take with them.
+// Guards against a group that does not return to its size in live voters after replacements, suspensions, restarts, partitions and
+// lost data folders that overlap, and against commands that two more lost data folders take with them.
 func TestGroupHealsAfterOverlappingReplacements(t *testing.T) {
 	for seed := *firstReplacementSeed; seed < *firstReplacementSeed+uint64(*replacementSeeds); seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
@@ -176,7 +190,8 @@
 			ids := s.pick(2)
 			s.interleave(plannedReplacement.steps(s, ids[0]), plannedReplacement.steps(s, ids[1]))
 			s.loseTwoFolders()
-			pairs := [][2]disturbance{{plannedReplacement, suspension}}
+			partitions := []partition{lostOutbound, lostInbound, lostBothWays, connectionsReset}
+			pairs := [][2]disturbance{{plannedReplacement, suspension}, {plannedReplacement, partitioned(partitions[s.rnd.IntN(len(partitions))])}}
 			for range replacementRounds {
 				pairs = append(pairs, [2]disturbance{disturbances[s.rnd.IntN(len(disturbances))], disturbances[s.rnd.IntN(len(disturbances))]})
 			}
