replica: a stopping leader tries to transfer the leadership for two election timeouts

The disks of all replicas had just been slow (0.6 to 0.9 s). Change: while no voter answers, the transfer is tried again until two election timeouts have passed. A group without another voter is not waited for.

--- a/server/replica/partition_test.go
+++ b/server/replica/partition_test.go
@@ -168,3 +168,17 @@
 		})
 	}
 }
+
+// Guards against a leader that gives up its planned stop at once because no voter has answered for half an election timeout, as on
+// slow disks: it then transfers and announces nothing and stays a voter, and two lost data folders end the group.
+func TestPlannedStopOfALeaderWaitsForVoters(t *testing.T) {
+	c := newClusterOn(t, newFaultNetwork(), 3, withSlowRemoval(3))
+	c.propose("a")
+	leader := c.leader().id
+	c.partition(leader, lostBothWays)
+	time.Sleep(300 * time.Millisecond)
+	// The leader loses its leadership after an election timeout of 500 ms and then looks for the next one for two of them.
+	if took := c.stop(leader); took < 900*time.Millisecond {
+		t.Errorf("the stop gave up after %v", took)
+	}
+}
--- a/server/replica/replica.go
+++ b/server/replica/replica.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -250,9 +251,9 @@
 // succeeds in time, the replica stops all the same. Stop returns the result of Err, or the error of ctx if ctx ends before
 // the replica has stopped.
 func (r *Replica) Stop(ctx context.Context) error {
-	if r.leadership.Load().Leader && len(r.status.Load().Members) > 1 {
+	if r.leadership.Load().Leader && r.hasOtherVoter() {
 		transfer, cancel := context.WithTimeout(ctx, 2*r.cfg.ElectionTimeout)
-		if err := r.TransferLeadership(transfer); err != nil {
+		if err := r.transferRetrying(transfer); err != nil {
 			r.cfg.Logger.Warn("leadership_transfer_failed", "error", err.Error())
 		}
 		cancel()
@@ -267,6 +268,28 @@
 	}
 }
 
+func (r *Replica) hasOtherVoter() bool {
+	return slices.ContainsFunc(r.status.Load().Members, func(m MemberStatus) bool { return m.Voter && m.Node != string(r.nodeID) })
+}
+
+// transferRetrying transfers leadership. While no voter answers, it tries again until ctx ends: slow disks keep voters from answering
+// for longer than a transfer accepts, and a leader that stops without a transfer can't announce its stop either.
+func (r *Replica) transferRetrying(ctx context.Context) error {
+	for {
+		err := r.TransferLeadership(ctx)
+		if !ErrMembership.Has(err) {
+			return err
+		}
+		select {
+		case <-time.After(departureRetryInterval):
+		case <-ctx.Done():
+			return err
+		case <-r.stopping:
+			return err
+		}
+	}
+}
+
 // enqueue adds a task to the queue of the raft loop. It waits while the queue is full and returns ErrStopped once the
 // replica stops.
 func (r *Replica) enqueue(task func()) error {
