--- a/server/replica/loop.go
+++ b/server/replica/loop.go
@@ -216,6 +216,8 @@
 func (r *Replica) membershipCommitted(e raft.Entry) {
 	r.addMemberAddresses()
 	r.closeUnusedLinks()
+	// The entry is applied after this, so that whoever proposed it reads the new membership in Status.
+	r.publishStatus()
 	var names []string
 	for _, m := range r.node.MembersAt(e.Index) {
 		role := "learner"
@@ -293,7 +295,7 @@
 func (r *Replica) publishStatus() {
 	status := Status{
 		ID: r.cfg.ID, Node: string(r.nodeID), Term: r.node.Term(), CommitIndex: r.node.CommitIndex(),
-		LeaderID: memberID(r.node.Leader()),
+		LeaderID: memberID(r.node.Leader()), StalledLearners: r.stalledLearners(time.Now()),
 	}
 	for _, m := range r.node.CommittedMembers() {
 		match, active := r.node.MatchIndex(m.Node)
--- a/server/replica/replica.go
+++ b/server/replica/replica.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -71,6 +72,8 @@
 	inboundMu sync.Mutex // guards inbound
 	inbound   map[raft.NodeID]*inboundCalls
 
+	streams streams
+
 	// departing is set when a planned stop begins. From then on this replica does not ask to join.
 	departing atomic.Bool
 
@@ -78,8 +81,8 @@
 	node    *raft.Node
 	storage *storage
 	links   map[raft.NodeID]*link
-	// sendingSnapshot holds the nodes to which a snapshot is being sent.
-	sendingSnapshot map[raft.NodeID]bool
+	// snapshotTransfers holds the snapshots that are being sent, by receiver.
+	snapshotTransfers map[raft.NodeID]*snapshotTransfer
 	// waiters holds the proposals that are not committed yet, by log index.
 	waiters map[uint64]*waiter
 	// pendingBytes is the size of the commands in waiters, in bytes.
@@ -94,6 +97,8 @@
 	// departures holds, for each member that announced its planned stop to this leader and was not removed, the time of the
 	// announcement.
 	departures map[raft.NodeID]time.Time
+	// admissions holds the nodes that ask this leader to join and are not admitted yet.
+	admissions map[raft.NodeID]*admission
 	// joinRequests holds the requests of replicas that asked to join before the group was created, by replica id.
 	joinRequests map[string]JoinArgs
 	// Index and term of the last entry passed to the apply loop.
@@ -137,11 +142,12 @@
 	r := &Replica{
 		cfg: cfg, nodeID: storage.identity.nodeID(), freshness: newFreshness(), applier: newApplier(cfg.StateMachine),
 		startedAt: time.Now(), unresponsiveSince: map[raft.NodeID]time.Time{}, departures: map[raft.NodeID]time.Time{}, joinRequests: map[string]JoinArgs{},
-		tasks: make(chan func(), taskQueueLength), appliedSignal: make(chan struct{}, 1),
+		admissions: map[raft.NodeID]*admission{},
+		tasks:      make(chan func(), taskQueueLength), appliedSignal: make(chan struct{}, 1),
 		stopping: make(chan struct{}), done: make(chan struct{}),
 		leadership: blackboard.NewSection(Leadership{}), status: blackboard.NewSection(Status{ID: cfg.ID, Node: string(storage.identity.nodeID())}),
 		addresses: map[raft.NodeID]string{}, inbound: map[raft.NodeID]*inboundCalls{}, storage: storage, links: map[raft.NodeID]*link{},
-		sendingSnapshot: map[raft.NodeID]bool{}, waiters: map[uint64]*waiter{}, pendingReads: map[uint64]chan raft.ReadState{},
+		snapshotTransfers: map[raft.NodeID]*snapshotTransfer{}, waiters: map[uint64]*waiter{}, pendingReads: map[uint64]chan raft.ReadState{},
 	}
 	var err error
 	if r.leadershipWriter, err = r.leadership.Writer(); err != nil {
@@ -245,9 +251,9 @@
 // succeeds in time, the replica stops all the same. Stop returns the result of Err, or the error of ctx if ctx ends before
 // the replica has stopped.
 func (r *Replica) Stop(ctx context.Context) error {
-	if r.leadership.Load().Leader && len(r.status.Load().Members) > 1 {
+	if r.leadership.Load().Leader && r.hasOtherVoter() {
 		transfer, cancel := context.WithTimeout(ctx, 2*r.cfg.ElectionTimeout)
-		if err := r.TransferLeadership(transfer); err != nil {
+		if err := r.transferRetrying(transfer); err != nil {
 			r.cfg.Logger.Warn("leadership_transfer_failed", "error", err.Error())
 		}
 		cancel()
@@ -262,6 +268,28 @@
 	}
 }
 
+func (r *Replica) hasOtherVoter() bool {
+	return slices.ContainsFunc(r.status.Load().Members, func(m MemberStatus) bool { return m.Voter && m.Node != string(r.nodeID) })
+}
+
+// transferRetrying transfers leadership. While no voter answers, it tries again until ctx ends: slow disks keep voters from answering
+// for longer than a transfer accepts, and a leader that stops without a transfer can't announce its stop either.
+func (r *Replica) transferRetrying(ctx context.Context) error {
+	for {
+		err := r.TransferLeadership(ctx)
+		if !ErrMembership.Has(err) {
+			return err
+		}
+		select {
+		case <-time.After(departureRetryInterval):
+		case <-ctx.Done():
+			return err
+		case <-r.stopping:
+			return err
+		}
+	}
+}
+
 // enqueue adds a task to the queue of the raft loop. It waits while the queue is full and returns ErrStopped once the
 // replica stops.
 func (r *Replica) enqueue(task func()) error {
@@ -416,7 +444,8 @@
 	return max(0, now.Sub(at)), true
 }
 
-// Status implements Log. Apart from Applied it is up to one tick old.
+// Status implements Log. It is up to one tick old, apart from Applied, and from Members, which on the leader have each change before
+// the call that proposed it returns.
 func (r *Replica) Status() Status {
 	status := r.status.Load()
 	status.Applied = r.applier.appliedIndex()
--- a/server/replica/transport.go
+++ b/server/replica/transport.go
@@ -6,7 +6,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"clementinetray/api/event"
@@ -37,8 +36,9 @@
 	Stamp   event.Stamp
 	// From and To apply to all Messages; the same fields of the messages are not transmitted.
 	From, To raft.NodeID
-	// Boot (the sender's process) and Stream identify a sequence of calls without a failed one. Sequence counts its calls
-	// from 1, because net/rpc runs calls in any order.
+	// Boot (the sender's process) and Stream identify a sequence of calls without a failed one. Streams are numbered over all
+	// receivers of a boot, so a later stream to a receiver has a higher number. Sequence counts the calls of a stream from 1,
+	// because net/rpc runs calls in any order.
 	Boot     uint64
 	Stream   uint64
 	Sequence uint64
@@ -69,18 +69,84 @@
 	stop  chan struct{}
 	// callSlots is a semaphore that limits the concurrent calls.
 	callSlots chan struct{}
-	// callFailed is set when a call fails, so that the next call starts a new stream.
-	callFailed       atomic.Bool
+
+	// The fields below are guarded by streams.mu.
+
+	closed bool
+	// stream is the current stream, 0 before the first call, and sequence the number of its calls.
 	stream, sequence uint64
+	// failedStream is the newest stream with a failed call.
+	failedStream uint64
+	// lastError is the error of the last call that ended; nil when it succeeded.
+	lastError error
 }
 
 func newLink(node raft.NodeID) *link {
 	return &link{
 		node: node, queue: make(chan raft.Message, linkQueueLength), stop: make(chan struct{}),
-		callSlots: make(chan struct{}, maxLinkCalls), stream: 1,
+		callSlots: make(chan struct{}, maxLinkCalls),
+	}
+}
+
+// streams numbers the streams of all links of this process. A link that replaces a closed one to the same node has only higher
+// streams than that one, which receivers that still know it rely on.
+type streams struct {
+	mu   sync.Mutex // guards last, and the closing and the streams of all links
+	last uint64
+}
+
+// nextCall returns the stream and the sequence number of the next call of the link; false when the link is closed. After a failed
+// call of the current stream it begins a new one.
+func (s *streams) nextCall(l *link) (stream, sequence uint64, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l.closed {
+		return 0, 0, false
+	}
+	if l.stream == l.failedStream {
+		// This also holds before the first call, as both are 0 then.
+		s.last++
+		l.stream, l.sequence = s.last, 0
+	}
+	l.sequence++
+	return l.stream, l.sequence, true
+}
+
+// callEnded records the result of a call of a stream. Late failures of an earlier stream don't end the current one.
+func (s *streams) callEnded(l *link, stream uint64, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l.lastError = err
+	if err != nil {
+		l.failedStream = max(l.failedStream, stream)
 	}
 }
 
+// lastError returns the error text of the last call of the link that ended; empty when it succeeded or there is no link.
+func (s *streams) lastError(l *link) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l == nil || l.lastError == nil {
+		return ""
+	}
+	return l.lastError.Error()
+}
+
+// hasFailed reports whether a call of the current stream failed.
+func (s *streams) hasFailed(l *link) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return l.stream > 0 && l.stream == l.failedStream
+}
+
+// close closes the link, which begins no further call then.
+func (s *streams) close(l *link) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l.closed = true
+	close(l.stop)
+}
+
 // send queues the message for its receiver; it drops the message when the queue is full.
 func (r *Replica) send(m raft.Message) {
 	if m.Kind == raft.InstallSnapshot {
@@ -100,11 +166,17 @@
 	}
 }
 
-// closeUnusedLinks closes the links to nodes that are no longer members and whose queues are empty.
+// closeUnusedLinks closes the links to nodes that are no longer members and whose queues are empty. It cancels the snapshot transfers to
+// nodes that are no longer members.
 func (r *Replica) closeUnusedLinks() {
+	for node := range r.snapshotTransfers {
+		if _, member := r.node.Members().Find(node); !member {
+			r.cancelSnapshot(node)
+		}
+	}
 	for node, l := range r.links {
 		if _, member := r.node.Members().Find(node); !member && len(l.queue) == 0 {
-			close(l.stop)
+			r.streams.close(l)
 			delete(r.links, node)
 		}
 	}
@@ -123,20 +195,25 @@
 	}
 }
 
-// sendBatch waits until a further call may start. It then sends the message and the messages queued after it in one call.
+// sendBatch waits until a further call may start. It then sends the message and the messages queued after it in one call. It
+// sends nothing when the link is closed meanwhile.
 func (r *Replica) sendBatch(l *link, first raft.Message) {
 	select {
 	case l.callSlots <- struct{}{}:
 	case <-r.stopping:
 		return
+	case <-l.stop:
+		return
 	}
-	if l.callFailed.Swap(false) {
-		l.stream, l.sequence = l.stream+1, 0
-		r.sleep(r.cfg.Tick)
+	if r.streams.hasFailed(l) {
+		l.sleep(r.cfg.Tick, r.stopping)
+	}
+	stream, sequence, ok := r.streams.nextCall(l)
+	if !ok {
+		return
 	}
-	l.sequence++
 	args := DeliverArgs{
-		Stamp: r.currentStamp(), From: r.nodeID, To: l.node, Boot: r.freshness.bootID, Stream: l.stream, Sequence: l.sequence,
+		Stamp: r.currentStamp(), From: r.nodeID, To: l.node, Boot: r.freshness.bootID, Stream: stream, Sequence: sequence,
 	}
 	if args.Sequence == 1 {
 		args.Address = r.cfg.Address
@@ -149,10 +226,11 @@
 	}
 	r.goroutines.Go(func() {
 		defer func() { <-l.callSlots }()
-		address, ok := r.address(l.node)
-		if !ok || r.call(address, "Deliver", args, &Empty{}) != nil {
-			l.callFailed.Store(true)
+		err := Error.New("the address of %s is not known", l.node)
+		if address, ok := r.address(l.node); ok {
+			err = r.call(address, "Deliver", args, &Empty{})
 		}
+		r.streams.callEnded(l, stream, err)
 	})
 }
 
@@ -170,37 +248,61 @@
 	return size
 }
 
-// sleep waits for d or until the replica stops.
-func (r *Replica) sleep(d time.Duration) {
+// sleep waits for d, until the link is closed or until the replica stops.
+func (l *link) sleep(d time.Duration, stopping <-chan struct{}) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-	case <-r.stopping:
+	case <-l.stop:
+	case <-stopping:
 	}
 }
 
-// sendSnapshot starts to send the newest snapshot to the receiver of the message, unless a snapshot is being sent there
-// already.
+// snapshotTransfer is a snapshot that is being sent to one node.
+type snapshotTransfer struct {
+	// term is the term of the InstallSnapshot message, and index the last entry that the snapshot holds at least.
+	term, index uint64
+	cancel      context.CancelFunc
+}
+
+// sendSnapshot starts to send the newest snapshot to the receiver of the message. A transfer that is under way goes on if its result
+// is valid for the message; otherwise it is cancelled. The receiver drops one of an earlier term, and an older snapshot
+// leaves a gap to the entries that the leader still has.
 func (r *Replica) sendSnapshot(m raft.Message) {
-	if r.sendingSnapshot[m.To] {
+	if t := r.snapshotTransfers[m.To]; t != nil && t.term == m.Term && t.index >= m.Snapshot.Meta.Index {
 		return
 	}
-	r.sendingSnapshot[m.To] = true
+	r.cancelSnapshot(m.To)
+	ctx, cancel := context.WithCancel(r.ctx)
+	t := &snapshotTransfer{term: m.Term, index: m.Snapshot.Meta.Index, cancel: cancel}
+	r.snapshotTransfers[m.To] = t
 	r.goroutines.Go(func() {
-		err := r.sendSnapshotChunks(m)
+		err := r.sendSnapshotChunks(ctx, m)
 		if err != nil {
 			r.cfg.Logger.Warn("snapshot_transfer_failed", "to", m.To, "error", err.Error())
 		}
-		r.enqueue(func() {
-			delete(r.sendingSnapshot, m.To)
+		_ = r.enqueue(func() {
+			if r.snapshotTransfers[m.To] != t {
+				// It was cancelled: its result says nothing about the state of the node now.
+				return
+			}
+			r.cancelSnapshot(m.To)
 			r.node.ReportSnapshot(m.To, err == nil)
 		})
 	})
 }
 
-// sendSnapshotChunks sends the newest snapshot in chunks, one call after the other.
-func (r *Replica) sendSnapshotChunks(m raft.Message) error {
+// cancelSnapshot ends the transfer to the node, if there is one.
+func (r *Replica) cancelSnapshot(to raft.NodeID) {
+	if t := r.snapshotTransfers[to]; t != nil {
+		t.cancel()
+		delete(r.snapshotTransfers, to)
+	}
+}
+
+// sendSnapshotChunks sends the newest snapshot in chunks, one call after the other, until ctx ends.
+func (r *Replica) sendSnapshotChunks(ctx context.Context, m raft.Message) error {
 	snap, err := r.storage.snapshots.Load()
 	if err != nil {
 		r.fail(err)
@@ -219,8 +321,8 @@
 	for {
 		end := min(args.Offset+chunkBytes, args.Total)
 		args.Data = snap.Data[args.Offset:end]
-		ctx, cancel := context.WithTimeout(r.ctx, r.cfg.CallTimeout)
-		err := r.cfg.Pool.Call(ctx, address, serviceName+".InstallChunk", args, &Empty{})
+		callCtx, cancel := context.WithTimeout(ctx, r.cfg.CallTimeout)
+		err := r.cfg.Pool.Call(callCtx, address, serviceName+".InstallChunk", args, &Empty{})
 		cancel()
 		if err != nil || end == args.Total {
 			return err
@@ -311,7 +413,8 @@
 }
 
 // receiveInOrder passes calls to receive in the order of their sequence numbers: it keeps a call until the earlier
-// ones have arrived. Late calls of an earlier stream are dropped; raft retransmits.
+// ones have arrived. It returns ErrStaleStream for a call of an earlier stream, so that a sender that is not heard begins a new
+// stream. A late call of the current stream is dropped; raft retransmits.
 func (in *inboundCalls) receiveInOrder(args DeliverArgs, receive func(DeliverArgs) error) error {
 	in.mu.Lock()
 	defer in.mu.Unlock()
@@ -323,7 +426,10 @@
 		}
 		in.boot, in.stream, in.next, in.waiting = args.Boot, args.Stream, first, map[uint64]DeliverArgs{}
 	}
-	if args.Stream < in.stream || args.Sequence < in.next {
+	if args.Stream < in.stream {
+		return ErrStaleStream.New("call %d of stream %d from %s, the current stream is %d", args.Sequence, args.Stream, args.From, in.stream)
+	}
+	if args.Sequence < in.next {
 		return nil
 	}
 	in.waiting[args.Sequence] = args
