shares: fleet-wide fair shares between workspaces

Cause: with 72 entry instances each sees 1 in 72 of the traffic, so the running requests on one instance don't show the size of a workspace.

Nothing is wired yet.

--- a/api/control/messages.go
+++ b/api/control/messages.go
@@ -414,6 +414,24 @@
 	RolloutSamples []RolloutSample
 	// Leaving is true if the instance is about to stop.
 	Leaving bool
+	// ReportsUse is true if the sender measures the use of workspaces. Use then lists the workspaces with recent requests, the
+	// largest first; one that is not listed uses nothing.
+	ReportsUse bool
+	Use        []WorkspaceUse
+}
+
+// WorkspaceUse is what one workspace asked of an entry instance and got from it, as a mean over the last seconds. The unit is
+// the expected cost of requests for each second; it is the same on all instances.
+type WorkspaceUse struct {
+	Workspace string
+	// Asked is the cost of the requests that were placed or refused, Served that of the placed ones.
+	Asked, Served float64
+}
+
+// WorkspaceStanding is the fleet-wide use of a workspace divided by its fair share. It is 1 at the fair share.
+type WorkspaceStanding struct {
+	Workspace string
+	Ratio     float64
 }
 
 // RolloutTime is how long a roll-out of a service has run according to an entry instance: the time that the control group
@@ -449,6 +467,11 @@
 	Meta
 	Grants []Grant
 	TTL    time.Duration
+	// StandingsTTL is how long Standings are valid, counted from when the request was sent. 0 means that the leader does not know
+	// the standings; those of an earlier reply then stay valid until they expire. Otherwise each workspace that is not listed
+	// is within its fair share.
+	StandingsTTL time.Duration
+	Standings    []WorkspaceStanding
 }
 
 // AnnounceRequest forwards the announcements that an entry instance received.
--- a/api/control/operator.go
+++ b/api/control/operator.go
@@ -23,6 +23,7 @@
 //	GET  /v1/status               -> StatusReply
 //	GET  /v1/timeline             query parameters as in event.Filter -> TimelineMerge
 //	GET  /v1/bills                -> []WorkspaceBill
+//	GET  /v1/shares               -> SharesReply
 //	POST /v1/replicas/{id}        ReplicaRequest -> StatusReply
 //	DELETE /v1/replicas/{id}      -> StatusReply
 
@@ -152,6 +153,31 @@
 	CostMicros int64 `json:"cost_micros"`
 }
 
+// SharesReply holds the use and the fair shares of the workspaces in the whole fleet. The amounts are in the unit of WorkspaceUse.
+type SharesReply struct {
+	// Known is true if enough entry instances report their use, so that standings are sent to the instances.
+	Known bool `json:"known"`
+	// Reporting is the number of entry instances with a current report, Expected the number of those that may serve requests.
+	Reporting int `json:"reporting"`
+	Expected  int `json:"expected"`
+	// Workspaces lists the workspaces with recent requests, the largest ratio first.
+	Workspaces []WorkspaceShare `json:"workspaces"`
+}
+
+// WorkspaceShare holds the use and the fair share of one workspace in the whole fleet.
+type WorkspaceShare struct {
+	Workspace string  `json:"workspace"`
+	Weight    float64 `json:"weight"`
+	// Asked is what the workspace asked for, Used what it was served, and Share what it would be served under fair shares.
+	Asked float64 `json:"asked"`
+	Used  float64 `json:"used"`
+	Share float64 `json:"share"`
+	// Ratio is the standing that entry instances receive; 1 if they receive none.
+	Ratio float64 `json:"ratio"`
+	// Above is true if the workspace asks for more than its share.
+	Above bool `json:"above"`
+}
+
 // ReplicaStatus is the status of a control replica for operators.
 type ReplicaStatus struct {
 	ID string `json:"id"`
--- /dev/null
+++ b/server/shares/meter.go
@@ -0,0 +1,123 @@
+package shares
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"clementinetray/api/control"
+)
+
+const (
+	// AveragingTime is the time constant of the exponential mean of the use. With a round of heartbeats for the report and one
+	// for the reply, a change of the load is known to all instances within 3 s; a shorter mean would follow single long requests.
+	AveragingTime = 1500 * time.Millisecond
+	// MaxReported bounds the workspaces in one heartbeat and in one reply.
+	MaxReported = 100
+	// maxMetered bounds the workspaces that a meter keeps; further ones are not counted until others are idle.
+	maxMetered = 4096
+	// forgetTime is how long after its last request a workspace is removed from the meter. Its use has then fallen below 1%.
+	forgetTime = 5 * AveragingTime
+)
+
+// Meter measures what the workspaces ask of one entry instance and what they are served. It does nothing until it is enabled. It is
+// safe for concurrent use.
+type Meter struct {
+	enabled atomic.Bool
+	metrics *instanceMetrics
+
+	mu  sync.Mutex // guards use
+	use map[string]*meteredUse
+}
+
+// meteredUse holds the exponentially decayed sums of the costs at the time at, and the time of the last request.
+type meteredUse struct {
+	asked, served   float64
+	at, lastRequest time.Time
+}
+
+// Enable starts or stops the measurement. A meter that is stopped reports nothing.
+func (m *Meter) Enable(on bool) { m.enabled.Store(on) }
+
+// Served counts an attempt that was sent to a backend server. cost is the expected cost of the request, in a unit that is the same
+// on all instances.
+func (m *Meter) Served(workspace string, cost float64, now time.Time) {
+	m.add(workspace, cost, cost, now)
+}
+
+// Refused counts a request that was refused, without having been sent, because there was no capacity for it.
+func (m *Meter) Refused(workspace string, cost float64, now time.Time) {
+	m.add(workspace, cost, 0, now)
+}
+
+func (m *Meter) add(workspace string, asked, served float64, now time.Time) {
+	if !m.enabled.Load() || workspace == "" || !validAmount(asked) || asked == 0 {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	u := m.use[workspace]
+	if u == nil {
+		if len(m.use) >= maxMetered {
+			return
+		}
+		u = &meteredUse{at: now}
+		m.use[workspace] = u
+	}
+	u.decay(now)
+	u.lastRequest = u.at
+	u.asked = min(u.asked+asked, maxAmount)
+	u.served = min(u.served+served, maxAmount)
+}
+
+// decay moves the sums to the time now. A time before the last one leaves them as they are.
+func (u *meteredUse) decay(now time.Time) {
+	elapsed := now.Sub(u.at)
+	if elapsed <= 0 {
+		return
+	}
+	factor := math.Exp(-elapsed.Seconds() / AveragingTime.Seconds())
+	u.asked, u.served, u.at = u.asked*factor, u.served*factor, now
+}
+
+// Report returns the use of the largest workspaces for a heartbeat, and whether the meter is enabled.
+func (m *Meter) Report(now time.Time) (use []control.WorkspaceUse, enabled bool) {
+	if !m.enabled.Load() {
+		return nil, false
+	}
+	m.mu.Lock()
+	for name, u := range m.use {
+		if now.Sub(u.lastRequest) >= forgetTime {
+			delete(m.use, name)
+			continue
+		}
+		u.decay(now)
+		use = append(use, control.WorkspaceUse{Workspace: name, Asked: u.asked / AveragingTime.Seconds(), Served: u.served / AveragingTime.Seconds()})
+	}
+	m.mu.Unlock()
+	slices.SortFunc(use, func(a, b control.WorkspaceUse) int {
+		return cmp.Or(cmp.Compare(b.Asked, a.Asked), cmp.Compare(a.Workspace, b.Workspace))
+	})
+	use = use[:min(len(use), MaxReported)]
+	for i := range use {
+		use[i].Asked, use[i].Served = roundAmount(use[i].Asked), roundAmount(use[i].Served)
+	}
+	m.metrics.reported.Set(float64(len(use)))
+	return use, true
+}
+
+// maxAmount is the largest amount that counts as valid. Sums of 410 reports of it are finite.
+const maxAmount = 1e15
+
+// validAmount reports whether v is a number from 0 to maxAmount.
+func validAmount(v float64) bool { return v >= 0 && v <= maxAmount }
+
+// roundAmount rounds to 10 bits, an error below 1 in 1,000. gob omits the trailing zero bytes of a number, so that an amount takes 4
+// bytes instead of 9.
+func roundAmount(v float64) float64 {
+	fraction, exponent := math.Frexp(v)
+	return math.Ldexp(math.Round(fraction*1024)/1024, exponent)
+}
