shares: wire the meter, the aggregator and the standings

Cause: package shares had no callers.

Change: routed requests are counted when they are placed and when they are refused for lack of capacity; heartbeats carry the report and the standings; the control leader aggregates, and GET /v1/shares and clementinectl shares show use and share of each workspace. The meter stays disabled, so that heartbeats and requests are as before.

Measured: tests of shares, controlsvc, syncer, ctl and api pass. In entry 318 of 319 specs passed at a load average of 21; "that it wants to be spared is obeyed for that time" failed (statements_test.go:192) and passed in 4 of 4 runs alone.

--- a/ctl/command/args.go
+++ b/ctl/command/args.go
@@ -22,6 +22,7 @@
 	Timeline   *timelineArgs   `arg:"subcommand:timeline" help:"show events of all processes in order"`
 	Explain    *explainArgs    `arg:"subcommand:explain" help:"show why a request was refused or where it was sent"`
 	Bills      *struct{}       `arg:"subcommand:bills" help:"show the totals of each workspace"`
+	Shares     *struct{}       `arg:"subcommand:shares" help:"show the use and the fair share of each workspace"`
 	Replica    *replicaArgs    `arg:"subcommand:replica" help:"add or remove a control replica"`
 }
 
--- a/ctl/command/command.go
+++ b/ctl/command/command.go
@@ -98,6 +98,8 @@
 		execute = r.explainRequest
 	case a.Bills != nil:
 		execute = r.listBills
+	case a.Shares != nil:
+		execute = r.showShares
 	case a.Replica != nil:
 		execute = r.replicaCommand(a.Replica)
 	}
--- a/ctl/command/command_test.go
+++ b/ctl/command/command_test.go
@@ -301,6 +301,9 @@
 		Entry("rollouts", "rollouts", []control.RolloutProgress{{Model: "claims", State: control.RolloutHeld, Since: changedAt}}, "held", "2026-03-01T12:00:00Z"),
 		Entry("quarantine", "quarantine", []control.QuarantineEntry{{Fingerprint: "abc", Servers: []string{"s1", "s2"}}}, "abc", "s1,s2"),
 		Entry("bills", "bills", []control.WorkspaceBill{{Workspace: "w", CostMicros: 12345}}, "12345"),
+		Entry("shares", "shares", control.SharesReply{Known: true, Reporting: 71, Expected: 72, Workspaces: []control.WorkspaceShare{
+			{Workspace: "w", Weight: 2, Asked: 7.5, Used: 3, Share: 1.25, Ratio: 2.4, Above: true},
+		}}, "known true, 71 of 72", "7.50", "3.00", "1.25", "2.40", "true"),
 		Entry("status", "status", control.StatusReply{
 			Leader: "c1", Replicas: []control.ReplicaStatus{{ID: "c1", Leader: true, Voter: true}, {ID: "c2", Voter: true}, {ID: "c3"}},
 			Members:   []control.Member{{Instance: "e1", AvailabilityZone: "muc-1"}},
--- a/ctl/command/reads.go
+++ b/ctl/command/reads.go
@@ -89,6 +89,25 @@
 	})
 }
 
+func (r *runner) showShares(ctx context.Context) error {
+	s := control.SharesReply{}
+	if err := r.client.Call(ctx, "GET", "/v1/shares", nil, &s); err != nil {
+		return err
+	}
+	if r.printIfJSON(s) {
+		return nil
+	}
+	fmt.Fprintf(r.Out, "standings known %t, %d of %d entry instances report\n\n", s.Known, s.Reporting, s.Expected)
+	amount := func(v float64) string { return strconv.FormatFloat(v, 'f', 2, 64) }
+	var rows [][]string
+	for _, w := range s.Workspaces {
+		rows = append(rows, []string{w.Workspace, strconv.FormatFloat(w.Weight, 'g', 4, 64), amount(w.Asked), amount(w.Used), amount(w.Share),
+			amount(w.Ratio), strconv.FormatBool(w.Above)})
+	}
+	r.printTable("WORKSPACE WEIGHT ASKED USED SHARE RATIO ABOVE", rows)
+	return nil
+}
+
 func (r *runner) printReplicas(replicas []control.ReplicaStatus) {
 	var rows [][]string
 	for _, p := range replicas {
--- a/server/controlsvc/contract.go
+++ b/server/controlsvc/contract.go
@@ -95,6 +95,19 @@
 	PutRolloutSamples(instance, boot string, samples []control.RolloutSample)
 }
 
+// ShareAggregator computes the fair shares of workspaces from the heartbeats on the control leader. It is safe for concurrent use.
+// shares.Aggregator implements it.
+type ShareAggregator interface {
+	// Reset drops all reports. The reports of the given members are awaited before standings are sent.
+	Reset(now time.Time, members []control.Member)
+	// Heartbeat records the report in a heartbeat and adds the standings to its reply.
+	Heartbeat(now time.Time, in *control.HeartbeatRequest, out *control.HeartbeatReply)
+	// Leave removes one boot of an instance that has stopped as planned.
+	Leave(instance, boot string)
+	// Shares returns the use and the shares for operators.
+	Shares(now time.Time) control.SharesReply
+}
+
 // OutcomeSink receives the request outcomes and the reports of suspect backend servers from heartbeats. It receives nothing
 // from a heartbeat that was sent again, so that each outcome counts once.
 type OutcomeSink interface {
--- a/server/controlsvc/operator.go
+++ b/server/controlsvc/operator.go
@@ -95,6 +95,7 @@
 	r.Post("/v1/quarantine/{fingerprint}/lift", s.postQuarantineLift)
 	r.Get("/v1/status", s.getStatus)
 	r.Get("/v1/bills", s.getBills)
+	r.Get("/v1/shares", s.getShares)
 	r.Post("/v1/replicas/{id}", s.postReplica)
 	r.Delete("/v1/replicas/{id}", s.deleteReplica)
 	r.NotFound(func(w http.ResponseWriter, r *http.Request) {
--- a/server/controlsvc/operator_reads.go
+++ b/server/controlsvc/operator_reads.go
@@ -86,6 +86,17 @@
 	}
 }
 
+func (s *Service) getShares(w http.ResponseWriter, r *http.Request) {
+	if !s.confirmState(w, r) {
+		return
+	}
+	if s.Shares == nil {
+		writeJSON(w, control.SharesReply{Workspaces: []control.WorkspaceShare{}})
+		return
+	}
+	writeJSON(w, s.Shares.Shares(s.Now()))
+}
+
 func (s *Service) getStatus(w http.ResponseWriter, r *http.Request) {
 	if !s.confirmState(w, r) {
 		return
--- a/server/controlsvc/rpc.go
+++ b/server/controlsvc/rpc.go
@@ -176,8 +176,14 @@
 	}
 	out.Grants = s.Allocator.Heartbeat(now, in, s.limitSource)
 	out.TTL = limits.GrantTTL
+	if s.Shares != nil {
+		s.Shares.Heartbeat(now, in, out)
+	}
 	if effect.left {
 		s.Allocator.InstanceLeft(now, in.Instance, in.Boot, true)
+		if s.Shares != nil {
+			s.Shares.Leave(in.Instance, in.Boot)
+		}
 		out.Grants = nil
 		s.Recorder.Record(event.Event{Kind: "member_left", AvailabilityZone: in.Member.AvailabilityZone,
 			Detail: map[string]string{"member": in.Instance, "boot": in.Boot}})
--- a/server/controlsvc/rpc_test.go
+++ b/server/controlsvc/rpc_test.go
@@ -1,6 +1,7 @@
 package controlsvc
 
 import (
+	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
@@ -16,6 +17,7 @@
 	"clementinetray/server/controlstate"
 	"clementinetray/server/limits"
 	"clementinetray/server/replica"
+	"clementinetray/server/shares"
 )
 
 type leaderCall func(s *Service) error
@@ -283,6 +285,47 @@
 		report(3, "s-1", control.SuspectLeaving)
 		Expect(leaving()).To(BeTrue())
 	})
+	// Guards against standings that entry instances don't get, a new leader that trusts the first instance that it hears, and the use of
+	// an instance that has stopped.
+	It("returns the standings of workspaces and shows them to operators", func() {
+		var b *testService
+		aggregator, err := shares.NewAggregator(shares.Config{Catalogue: func() *catalogue.Catalogue {
+			return &catalogue.Catalogue{Workspaces: []catalogue.Workspace{{Name: "large"}, {Name: "small"}}}
+		}})
+		Expect(err).NotTo(HaveOccurred())
+		b = newTestService(true, func(c *Config) { c.Shares = aggregator })
+		b.table.members = []control.Member{{Instance: "e1", Boot: "b1"}, {Instance: "e2", Boot: "b1"}}
+		b.run()
+		heartbeat := func(instance string, sequence uint64, leaving bool) *control.HeartbeatReply {
+			GinkgoHelper()
+			b.clock.advance(500 * time.Millisecond)
+			out := &control.HeartbeatReply{}
+			Expect(b.Heartbeat(&control.HeartbeatRequest{
+				Meta: control.Meta{Instance: instance, Boot: "b1"}, Sequence: sequence, Leaving: leaving, ReportsUse: true,
+				Use: []control.WorkspaceUse{{Workspace: "large", Asked: 9, Served: 4}, {Workspace: "small", Asked: 1, Served: 1}},
+			}, out)).To(Succeed())
+			return out
+		}
+		Expect(heartbeat("e1", 1, false).StandingsTTL).To(BeZero(), "the members of the former leader were not awaited")
+		out := heartbeat("e2", 1, false)
+		Expect(out.StandingsTTL).To(Equal(shares.StandingsTTL))
+		Expect(out.Standings).To(HaveLen(1))
+		Expect(out.Standings[0].Workspace).To(Equal("large"))
+		Expect(out.Standings[0].Ratio).To(BeNumerically(">", 1))
+		h := b.OperatorHandler([]string{tokenHash})
+		read := func() (reply control.SharesReply) {
+			GinkgoHelper()
+			Expect(json.Unmarshal(sendRequest(h, "GET", "/v1/shares", "").Body.Bytes(), &reply)).To(Succeed())
+			return reply
+		}
+		Expect(read()).To(Equal(control.SharesReply{Known: true, Reporting: 2, Expected: 2, Workspaces: []control.WorkspaceShare{
+			{Workspace: "large", Weight: 1, Asked: 18, Used: 8, Share: 8, Ratio: read().Workspaces[0].Ratio, Above: true},
+			{Workspace: "small", Weight: 1, Asked: 2, Used: 2, Share: 2, Ratio: 1},
+		}}))
+		heartbeat("e2", 2, true)
+		heartbeat("e1", 2, false)
+		Expect(read().Expected).To(Equal(1))
+	})
 	It("answers CallNew again to the holder when the result of the commit was lost", func() {
 		b := newTestService(true).run()
 		b.log.update(func() { b.log.lateError = replica.ErrOutcomeUnknown.New("") })
--- a/server/controlsvc/service.go
+++ b/server/controlsvc/service.go
@@ -44,7 +44,7 @@
 	Call(ctx context.Context, address, method string, args, reply any) error
 }
 
-// Config holds the dependencies of a Service. All fields except OutcomeSinks, ServiceRollouts, LeaderControllers,
+// Config holds the dependencies of a Service. All fields except OutcomeSinks, ServiceRollouts, Shares, LeaderControllers,
 // ToleratedLosses and Now are required.
 type Config struct {
 	Log   replica.Log
@@ -57,6 +57,7 @@
 	Ratings           RatingTable
 	OutcomeSinks      []OutcomeSink
 	ServiceRollouts   ServiceRolloutSink
+	Shares            ShareAggregator
 	LeaderControllers []LeaderController
 	Recorder          event.Recorder
 	Clock             *event.Clock
@@ -160,6 +161,9 @@
 	now := s.Now()
 	s.Allocator.Reset(now)
 	s.members.reset()
+	if s.Shares != nil {
+		s.Shares.Reset(now, s.FleetTable.Snapshot(now).Members)
+	}
 	s.FleetTable.Reset(now, fleet.Epoch(l.Term))
 	recorded := s.State.Servers()
 	changed := s.FleetTable.AddRecordedServers(now, recorded)
--- a/server/daemon/control.go
+++ b/server/daemon/control.go
@@ -8,6 +8,9 @@
 	"syscall"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
+	"clementinetray/api/catalogue"
 	"clementinetray/api/control"
 	"clementinetray/api/event"
 	"clementinetray/server/controlclient"
@@ -23,12 +26,13 @@
 	"clementinetray/server/replica"
 	"clementinetray/server/rollout"
 	"clementinetray/server/settings"
+	"clementinetray/server/shares"
 )
 
 var controlConstructors = []any{
 	newLedger, newState, newReplica, newProposer, newAllocator, fleet.NewTable, newLifecycleController,
 	newFleetRatings, newRolloutController, newServiceRolloutController, newFleetRecorder, newEngineOrderController,
-	newControlService,
+	newShareAggregator, newControlService,
 }
 
 func newLedger(s *settings.Settings) (*ledger.Ledger, error) {
@@ -85,6 +89,11 @@
 
 func newAllocator(s *settings.Settings) *limits.Allocator { return limits.NewAllocator(s.MaxEntries) }
 
+func newShareAggregator(state *controlstate.State, registerer prometheus.Registerer, logger *slog.Logger) (*shares.Aggregator, error) {
+	currentCatalogue := func() *catalogue.Catalogue { return state.View().Catalogue }
+	return shares.NewAggregator(shares.Config{Catalogue: currentCatalogue, Registerer: registerer, Log: logger})
+}
+
 func newLifecycleController(
 	table *fleet.Table, state *controlstate.State, proposer *controlsvc.LogProposer, recorder event.Recorder, logger *slog.Logger,
 ) *lifecycle.Controller {
@@ -153,13 +162,14 @@
 	s *settings.Settings, replicatedLog *replica.Replica, state *controlstate.State, proposer *controlsvc.LogProposer,
 	allocator *limits.Allocator, table *fleet.Table, lifecycles *lifecycle.Controller, modelRollouts *rollout.Controller,
 	serviceRollouts *rollout.ServiceController, fleetRecorder *fleet.Recorder, fleetRatings *ratings.Store,
-	engineOrders *engineorder.Controller, recorder event.Recorder, clock *event.Clock,
+	engineOrders *engineorder.Controller, shareAggregator *shares.Aggregator, recorder event.Recorder, clock *event.Clock,
 	pool *peer.Pool, identity controlclient.Identity, logger *slog.Logger,
 ) *controlsvc.Service {
 	return controlsvc.New(controlsvc.Config{
 		Log: replicatedLog, State: state, Proposer: proposer, Allocator: allocator, FleetTable: table, ServerRecorder: fleetRecorder, Ratings: fleetRatings,
 		OutcomeSinks:      []controlsvc.OutcomeSink{lifecycles, modelRollouts, serviceRollouts, fleetRatings},
 		ServiceRollouts:   serviceRollouts,
+		Shares:            shareAggregator,
 		LeaderControllers: []controlsvc.LeaderController{lifecycles, modelRollouts, serviceRollouts, fleetRatings, engineOrders, fleetRecorder},
 		Recorder:          recorder, Clock: clock, Peers: pool, Identity: identity, PeerAddress: s.PeerAdvertise, Logger: logger,
 		ToleratedLosses: s.ToleratedLosses,
--- a/server/daemon/entry.go
+++ b/server/daemon/entry.go
@@ -21,26 +21,32 @@
 	"clementinetray/server/retry"
 	"clementinetray/server/routing"
 	"clementinetray/server/settings"
+	"clementinetray/server/shares"
 	"clementinetray/server/syncer"
 )
 
 var entryConstructors = []any{
-	newLimitsHolder, newRatingsEstimator, newEntryHandler, newSyncer, newHeartbeat, newAnnounceHandler, newRatingsPublisher, newLimitTracker,
+	newLimitsHolder, newInstanceShares, newRatingsEstimator, newEntryHandler, newSyncer, newHeartbeat, newAnnounceHandler, newRatingsPublisher, newLimitTracker,
 }
 
 func newLimitsHolder(s *settings.Settings) *limits.Holder { return limits.NewHolder(s.MaxEntries) }
 
+// newInstanceShares returns the meter and the standings of workspaces, with the meter disabled.
+func newInstanceShares(registerer prometheus.Registerer) (*shares.Instance, error) {
+	return shares.NewInstance(registerer)
+}
+
 func newRatingsEstimator() *ratings.Estimator { return ratings.NewEstimator() }
 
 func newEntryHandler(
 	s *settings.Settings, adapter Adapter, identity controlclient.Identity, board *blackboard.Board, client control.Client, holder *limits.Holder,
-	estimator *ratings.Estimator, recorder event.Recorder, registerer prometheus.Registerer, logger *slog.Logger,
+	workspaceShares *shares.Instance, estimator *ratings.Estimator, recorder event.Recorder, registerer prometheus.Registerer, logger *slog.Logger,
 ) (*entry.Handler, error) {
 	return entry.New(entry.Config{
 		Instance: identity.Instance, Boot: identity.Boot, AvailabilityZone: s.AvailabilityZone, Region: s.Region,
 		Board: board, Control: client,
 		Router: entry.RouterFuncs{Version: routing.ChooseVersion, Server: routing.ChooseServer},
-		Limits: holder, Budget: retry.NewBudget(), Recorder: recorder, Registerer: registerer, Log: logger,
+		Limits: holder, Budget: retry.NewBudget(), Meter: workspaceShares, Recorder: recorder, Registerer: registerer, Log: logger,
 		RatingURL: s.RatingURL, OnRating: newRatingCallback(estimator),
 		RoutedRetryRatio: retryBudgetShare * s.RetryRatio, RoutedRetrySlack: retryBudgetShare * s.RetrySlack, SureConfidence: s.SureConfidence,
 		Dialect: adapter.Dialect(), DrainDelay: s.StopGrace * drainDelayPercent / 100, StreamDrainDelay: s.StopGrace * streamDrainDelayPercent / 100,
@@ -120,9 +126,12 @@
 }
 
 func newHeartbeat(
-	client *controlclient.Client, holder *limits.Holder, handler *entry.Handler, member control.Member, logger *slog.Logger,
+	client *controlclient.Client, holder *limits.Holder, workspaceShares *shares.Instance, handler *entry.Handler, member control.Member,
+	logger *slog.Logger,
 ) *syncer.Heartbeat {
-	return syncer.NewHeartbeat(client, holder, handler, member, logger)
+	heartbeat := syncer.NewHeartbeat(client, holder, handler, member, logger)
+	heartbeat.SetShares(workspaceShares)
+	return heartbeat
 }
 
 func newAnnounceHandler(client control.Client, registerer prometheus.Registerer, logger *slog.Logger) (*announce.Handler, error) {
--- a/server/entry/config.go
+++ b/server/entry/config.go
@@ -25,11 +25,13 @@
 	AvailabilityZone string
 	Region           string
 
-	Board      *blackboard.Board
-	Control    control.Client
-	Router     Router
-	Limits     Limits
-	Budget     RetryBudget
+	Board   *blackboard.Board
+	Control control.Client
+	Router  Router
+	Limits  Limits
+	Budget  RetryBudget
+	// Meter measures the use of workspaces. nil measures nothing.
+	Meter      WorkspaceMeter
 	Recorder   event.Recorder
 	Registerer prometheus.Registerer
 	Log        *slog.Logger
--- a/server/entry/contract.go
+++ b/server/entry/contract.go
@@ -27,6 +27,15 @@
 	Apply(sentAt time.Time, reply *control.HeartbeatReply)
 }
 
+// WorkspaceMeter measures what workspaces ask for and are served (shares.Meter). cost is the expected cost of the request. It is safe
+// for concurrent use.
+type WorkspaceMeter interface {
+	// Served counts an attempt that is sent to a backend server.
+	Served(workspace string, cost float64, now time.Time)
+	// Refused counts a request that is refused for lack of capacity and was never sent.
+	Refused(workspace string, cost float64, now time.Time)
+}
+
 // RetryBudget bounds retries and hedged attempts (retry.Budget). It is safe for concurrent use.
 type RetryBudget interface {
 	// CountRequest counts the first attempt of a request, which adds to the budget.
--- a/server/entry/routed_run.go
+++ b/server/entry/routed_run.go
@@ -16,9 +16,11 @@
 	for {
 		placed, p := h.place(ctx, rq)
 		if p != nil {
+			h.meterRefusal(rq, p)
 			h.endRouted(ctx, w, rq, p)
 			return
 		}
+		h.meterPlacement(rq)
 		f := h.attemptRouted(ctx, w, rq, placed)
 		if f == nil {
 			return
--- /dev/null
+++ b/server/entry/workspaceuse_test.go
@@ -0,0 +1,92 @@
+package entry_test
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"clementinetray/api/catalogue"
+	"clementinetray/server/entry"
+)
+
+// useOf is one call of a workspaceMeter.
+type useOf struct {
+	workspace string
+	cost      float64
+	refused   bool
+}
+
+// workspaceMeter records its calls.
+type workspaceMeter struct {
+	mu    sync.Mutex
+	calls []useOf
+}
+
+func (m *workspaceMeter) Served(workspace string, cost float64, _ time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.calls = append(m.calls, useOf{workspace, cost, false})
+}
+
+func (m *workspaceMeter) Refused(workspace string, cost float64, _ time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.calls = append(m.calls, useOf{workspace, cost, true})
+}
+
+func (m *workspaceMeter) take() []useOf {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	taken := m.calls
+	m.calls = nil
+	return taken
+}
+
+var _ = Describe("the use of workspaces", func() {
+	idempotent := catalogue.Route{Kind: catalogue.KindIdempotent, MaxAttempts: 3, TimeLimitMillis: 5000}
+
+	newMeteredHarness := func(backends ...*backend) (*harness, *workspaceMeter) {
+		m := &workspaceMeter{}
+		s := newHarness(func(c *entry.Config) { c.Meter, c.RoutedRetryRatio, c.RoutedRetrySlack = m, 1, 100 })
+		s.setRoute(idempotent)
+		s.addServers("v1", backends...)
+		return s, m
+	}
+
+	// Guards against use that is not measured, and against sizes stated by a caller that make the sums useless.
+	It("counts each attempt with its expected cost", func() {
+		s, m := newMeteredHarness(newBackend("b1", respond(http.StatusOK, "well")), newBackend("b2", respond(http.StatusOK, "well")))
+		send(s.request("POST", "/r/x", "body"))
+		Expect(m.take()).To(Equal([]useOf{{"acme", 0.4, false}}))
+		send(s.request("POST", "/r/x", "body", "Clementinetray-Tokens", "1600,10", "Clementinetray-Model", "large"))
+		Expect(m.take()).To(Equal([]useOf{{"acme", 2, false}}))
+		send(s.request("POST", "/r/x", "body", "Clementinetray-Tokens", "1600,10", "Clementinetray-Model", "small"))
+		Expect(m.take()).To(ConsistOf(useOf{"acme", 0.2, false}))
+		send(s.request("POST", "/r/x", "body", "Clementinetray-Tokens", "9000000000000000000,10"))
+		Expect(m.take()).To(ConsistOf(useOf{"acme", 1000.4, false}))
+	})
+	It("counts each attempt of a request that is repeated", func() {
+		s, m := newMeteredHarness(newBackend("b1", cutAtOnce), newBackend("b2", cutAtOnce))
+		Expect(send(s.request("POST", "/r/x", "body")).status).NotTo(Equal(http.StatusOK))
+		Expect(m.take()).To(Equal([]useOf{{"acme", 0.4, false}, {"acme", 0.4, false}}))
+	})
+	// Guards against unserved demand that the leader does not know of, and against refusals for other reasons that count as such.
+	It("counts a refusal only for lack of capacity", func() {
+		spared := func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Retry-After", "30")
+			refuseNotRun(w, r)
+		}
+		s, m := newMeteredHarness(newBackend("b1", spared))
+		send(s.request("POST", "/r/x", "body"))
+		Expect(m.take()).To(Equal([]useOf{{"acme", 0.4, false}}))
+		Expect(send(s.request("POST", "/r/x", "body")).status).To(Equal(http.StatusServiceUnavailable))
+		Expect(m.take()).To(Equal([]useOf{{"acme", 0.4, true}}))
+		s, m = newMeteredHarness()
+		Expect(send(s.request("POST", "/r/x", "body")).status).To(Equal(http.StatusServiceUnavailable))
+		Expect(send(s.request("POST", "/unknown", "body")).status).To(Equal(http.StatusNotFound))
+		Expect(m.take()).To(BeEmpty(), "no backend server and no route")
+	})
+})
--- a/server/syncer/heartbeat.go
+++ b/server/syncer/heartbeat.go
@@ -31,6 +31,14 @@
 	Apply(sentAt time.Time, reply *control.HeartbeatReply)
 }
 
+// Shares reports the use of workspaces and receives their standings. shares.Instance implements it.
+type Shares interface {
+	// Report returns the use of the workspaces, and whether it is measured.
+	Report(now time.Time) (use []control.WorkspaceUse, enabled bool)
+	// Apply stores the standings in the reply to the heartbeat that was sent at sentAt.
+	Apply(sentAt time.Time, reply *control.HeartbeatReply)
+}
+
 // Reporter provides what an entry instance reports about its requests.
 type Reporter interface {
 	// TakeOutcomes and TakeSuspects return the counts and reports since the previous call and reset them.
@@ -49,8 +57,10 @@
 	leader   Leader
 	limits   Limits
 	reporter Reporter
-	member   control.Member
-	logger   *slog.Logger
+	// shares is nil if the use of workspaces is not reported.
+	shares Shares
+	member control.Member
+	logger *slog.Logger
 
 	sequence uint64
 	// pending holds counts that no reply has confirmed. They are sent again with the same sequence number, so that the leader
@@ -63,6 +73,9 @@
 	return &Heartbeat{leader: leader, limits: limits, reporter: reporter, member: member, logger: logger}
 }
 
+// SetShares makes the heartbeats report the use of workspaces. It must be called before the first heartbeat.
+func (h *Heartbeat) SetShares(s Shares) { h.shares = s }
+
 // Run sends heartbeats until ctx ends.
 func (h *Heartbeat) Run(ctx context.Context) {
 	for {
@@ -95,6 +108,9 @@
 	request.Demand, request.Held = h.limits.Demand(sentAt), h.limits.Held(sentAt)
 	request.Slots, request.RolloutTimes, request.Leaving = h.reporter.Slots(), h.reporter.RolloutTimes(), leaving
 	request.RolloutSamples = h.reporter.RolloutSamples()
+	if h.shares != nil {
+		request.Use, request.ReportsUse = h.shares.Report(sentAt)
+	}
 	reply, err := h.leader.Heartbeat(ctx, &request)
 	if err != nil {
 		h.logger.Warn("heartbeat failed", "error", err)
@@ -102,6 +118,9 @@
 	}
 	h.pending = nil
 	h.limits.Apply(sentAt, reply)
+	if h.shares != nil {
+		h.shares.Apply(sentAt, reply)
+	}
 }
 
 // Leave reports to the leader that this entry instance has drained and stops. Run must have returned.
--- a/server/syncer/syncer_test.go
+++ b/server/syncer/syncer_test.go
@@ -127,7 +127,34 @@
 	return []control.RolloutTime{{Service: "pool", Order: 1, Elapsed: time.Second}}
 }
 
+// workspaceShares reports one workspace and counts the replies.
+type workspaceShares struct {
+	enabled bool
+	applied int
+}
+
+func (s *workspaceShares) Report(time.Time) ([]control.WorkspaceUse, bool) {
+	if !s.enabled {
+		return nil, false
+	}
+	return []control.WorkspaceUse{{Workspace: "w", Asked: 2, Served: 1}}, true
+}
+func (s *workspaceShares) Apply(time.Time, *control.HeartbeatReply) { s.applied++ }
+
 var _ = Describe("Heartbeat", func() {
+	It("reports the use of workspaces only while it is measured, and passes on replies only (guards against standings from a failed call)", func() {
+		l, s := &leader{failures: 1}, &workspaceShares{}
+		h := syncer.NewHeartbeat(l, &limits{}, &reporter{}, control.Member{}, slog.New(slog.DiscardHandler))
+		h.SetShares(s)
+		h.Send(context.Background(), false)
+		s.enabled = true
+		h.Send(context.Background(), false)
+		Expect(l.requests[0].Use).To(BeNil())
+		Expect(l.requests[0].ReportsUse).To(BeFalse())
+		Expect(l.requests[1].Use).To(Equal([]control.WorkspaceUse{{Workspace: "w", Asked: 2, Served: 1}}))
+		Expect(l.requests[1].ReportsUse).To(BeTrue())
+		Expect(s.applied).To(Equal(1))
+	})
 	It("sends unconfirmed counts again with the same sequence number, so that a lost reply neither loses nor doubles them", func() {
 		l, limits := &leader{failures: 1}, &limits{}
 		h := syncer.NewHeartbeat(l, limits, &reporter{}, control.Member{}, slog.New(slog.DiscardHandler))
