--- a/server/entry/contract.go
+++ b/server/entry/contract.go
@@ -32,7 +32,9 @@
 type WorkspaceMeter interface {
 	// Served counts an attempt that is sent to a backend server.
 	Served(workspace string, cost float64, now time.Time)
-	// Refused counts a request that is refused for lack of capacity and was never sent.
+	// NotRun takes back an attempt that was counted as served and did not run.
+	NotRun(workspace string, cost float64, now time.Time)
+	// Refused counts a request that is refused for lack of capacity and has not run.
 	Refused(workspace string, cost float64, now time.Time)
 }
 
--- a/server/entry/routed_run.go
+++ b/server/entry/routed_run.go
@@ -16,7 +16,6 @@
 	for {
 		placed, p := h.place(ctx, rq)
 		if p != nil {
-			h.meterRefusal(rq, p)
 			h.endRouted(ctx, w, rq, p)
 			return
 		}
@@ -25,6 +24,7 @@
 		if f == nil {
 			return
 		}
+		h.meterFailure(rq, f)
 		if p := h.checkRoutedRetry(ctx, rq, placed.server, f); p != nil {
 			h.endRouted(ctx, w, rq, p)
 			return
@@ -184,6 +184,7 @@
 func (h *Handler) endRouted(ctx context.Context, w http.ResponseWriter, rq *request, p *problem.Problem) {
 	call := rq.routed
 	h.logRefusal(rq, p)
+	h.meterRefusal(rq, p)
 	switch {
 	case call.answerStarted:
 		// Part of the answer was delivered. Only an aborted connection shows the caller that it is incomplete.
--- a/server/entry/workspaceuse.go
+++ b/server/entry/workspaceuse.go
@@ -15,9 +15,19 @@
 	}
 }
 
+// meterFailure takes back an attempt that did not run, for instance because the backend server was full.
+func (h *Handler) meterFailure(rq *request, f *attemptError) {
+	if h.cfg.Meter != nil && (f.notRun || !f.wrote) {
+		h.cfg.Meter.NotRun(rq.workspaceName(), h.expectedCost(rq), time.Now())
+	}
+}
+
 // meterRefusal counts a routed request that no backend server had capacity for. Other refusals are no demand for capacity.
 func (h *Handler) meterRefusal(rq *request, p *problem.Problem) {
-	if h.cfg.Meter != nil && rq.attemptCount == 0 && (p.Reason == problem.Overloaded || p.Reason == problem.DeadlineExceeded) {
+	if h.cfg.Meter == nil || rq.mayHaveRun {
+		return
+	}
+	if p.Reason == problem.Overloaded || p.Reason == problem.DeadlineExceeded || len(rq.busyServers) > 0 {
 		h.cfg.Meter.Refused(rq.workspaceName(), h.expectedCost(rq), time.Now())
 	}
 }
--- a/server/entry/workspaceuse_test.go
+++ b/server/entry/workspaceuse_test.go
@@ -16,7 +16,7 @@
 type useOf struct {
 	workspace string
 	cost      float64
-	refused   bool
+	kind      string
 }
 
 // workspaceMeter records its calls.
@@ -28,13 +28,19 @@
 func (m *workspaceMeter) Served(workspace string, cost float64, _ time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.calls = append(m.calls, useOf{workspace, cost, false})
+	m.calls = append(m.calls, useOf{workspace, cost, "served"})
+}
+
+func (m *workspaceMeter) NotRun(workspace string, cost float64, _ time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.calls = append(m.calls, useOf{workspace, cost, "not run"})
 }
 
 func (m *workspaceMeter) Refused(workspace string, cost float64, _ time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.calls = append(m.calls, useOf{workspace, cost, true})
+	m.calls = append(m.calls, useOf{workspace, cost, "refused"})
 }
 
 func (m *workspaceMeter) take() []useOf {
@@ -60,20 +66,31 @@
 	It("counts each attempt with its expected cost", func() {
 		s, m := newMeteredHarness(newBackend("b1", respond(http.StatusOK, "well")), newBackend("b2", respond(http.StatusOK, "well")))
 		send(s.request("POST", "/r/x", "body"))
-		Expect(m.take()).To(Equal([]useOf{{"acme", 0.4, false}}))
+		Expect(m.take()).To(Equal([]useOf{{"acme", 0.4, "served"}}))
 		send(s.request("POST", "/r/x", "body", "Clementinetray-Tokens", "1600,10", "Clementinetray-Model", "large"))
-		Expect(m.take()).To(Equal([]useOf{{"acme", 2, false}}))
+		Expect(m.take()).To(Equal([]useOf{{"acme", 2, "served"}}))
 		send(s.request("POST", "/r/x", "body", "Clementinetray-Tokens", "1600,10", "Clementinetray-Model", "small"))
-		Expect(m.take()).To(ConsistOf(useOf{"acme", 0.2, false}))
+		Expect(m.take()).To(ConsistOf(useOf{"acme", 0.2, "served"}))
 		send(s.request("POST", "/r/x", "body", "Clementinetray-Tokens", "9000000000000000000,10"))
-		Expect(m.take()).To(ConsistOf(useOf{"acme", 1000.4, false}))
+		Expect(m.take()).To(ConsistOf(useOf{"acme", 1000.4, "served"}))
 	})
 	It("counts each attempt of a request that is repeated", func() {
 		s, m := newMeteredHarness(newBackend("b1", cutAtOnce), newBackend("b2", cutAtOnce))
 		Expect(send(s.request("POST", "/r/x", "body")).status).NotTo(Equal(http.StatusOK))
-		Expect(m.take()).To(Equal([]useOf{{"acme", 0.4, false}, {"acme", 0.4, false}}))
+		Expect(m.take()).To(Equal([]useOf{{"acme", 0.4, "served"}, {"acme", 0.4, "served"}}))
 	})
 	// Guards against unserved demand that the leader does not know of, and against refusals for other reasons that count as such.
+	It("counts a request that two full backend servers refuse once, as not served", func() {
+		s, m := newMeteredHarness(newBackend("b1", refuseNotRun), newBackend("b2", refuseNotRun))
+		Expect(send(s.request("POST", "/r/x", "body")).problem.NotRun).To(BeTrue())
+		counts := map[string]int{}
+		for _, c := range m.take() {
+			counts[c.kind]++
+		}
+		Expect(counts["served"]).To(BeNumerically(">=", 2))
+		Expect(counts["not run"]).To(Equal(counts["served"]))
+		Expect(counts["refused"]).To(Equal(1))
+	})
 	It("counts a refusal only for lack of capacity", func() {
 		spared := func(w http.ResponseWriter, r *http.Request) {
 			w.Header().Set("Retry-After", "30")
@@ -81,9 +98,9 @@
 		}
 		s, m := newMeteredHarness(newBackend("b1", spared))
 		send(s.request("POST", "/r/x", "body"))
-		Expect(m.take()).To(Equal([]useOf{{"acme", 0.4, false}}))
+		Expect(m.take()).To(Equal([]useOf{{"acme", 0.4, "served"}, {"acme", 0.4, "not run"}, {"acme", 0.4, "refused"}}))
 		Expect(send(s.request("POST", "/r/x", "body")).status).To(Equal(http.StatusServiceUnavailable))
-		Expect(m.take()).To(Equal([]useOf{{"acme", 0.4, true}}))
+		Expect(m.take()).To(Equal([]useOf{{"acme", 0.4, "refused"}}))
 		s, m = newMeteredHarness()
 		Expect(send(s.request("POST", "/r/x", "body")).status).To(Equal(http.StatusServiceUnavailable))
 		Expect(send(s.request("POST", "/unknown", "body")).status).To(Equal(http.StatusNotFound))
--- a/server/shares/meter.go
+++ b/server/shares/meter.go
@@ -48,7 +48,20 @@
 	m.add(workspace, cost, cost, now)
 }
 
-// Refused counts a request that was refused, without having been sent, because there was no capacity for it.
+// NotRun takes back an attempt that was counted by Served and did not run, for instance because the backend server was full.
+func (m *Meter) NotRun(workspace string, cost float64, now time.Time) {
+	if !m.enabled.Load() || !validAmount(cost) {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if u := m.use[workspace]; u != nil {
+		u.decay(now)
+		u.asked, u.served = max(u.asked-cost, 0), max(u.served-cost, 0)
+	}
+}
+
+// Refused counts a request that was refused, without having run, because there was no capacity for it.
 func (m *Meter) Refused(workspace string, cost float64, now time.Time) {
 	m.add(workspace, cost, 0, now)
 }
--- a/server/shares/shares_test.go
+++ b/server/shares/shares_test.go
@@ -100,6 +100,7 @@
 func TestADisabledMeterReportsNothing(t *testing.T) {
 	i := newTestInstance(t, false)
 	i.Served("w", 1, testTime)
+	i.NotRun("w", 1, testTime)
 	i.Refused("w", 1, testTime)
 	if use, enabled := i.Report(testTime); use != nil || enabled || len(i.use) > 0 {
 		t.Errorf("reports %v, enabled %v, keeps %d", use, enabled, len(i.use))
@@ -279,6 +280,15 @@
 	if use, enabled := i.Report(testTime.Add(forgetTime)); len(use) > 0 || !enabled || len(i.use) > 0 {
 		t.Errorf("after forgetTime %d are reported and %d kept", len(use), len(i.use))
 	}
+	i.NotRun("unknown", 1, testTime)
+	i.Served("busy", 1, testTime)
+	i.NotRun("busy", 1, testTime)
+	i.NotRun("busy", 1, testTime)
+	i.Refused("busy", 3, testTime)
+	if use, _ := i.Report(testTime); len(use) != 1 || use[0].Asked != 3/AveragingTime.Seconds() || use[0].Served != 0 {
+		t.Errorf("a refused request with an attempt that did not run is reported as %+v", use)
+	}
+	i.Report(testTime.Add(forgetTime))
 	// The clock may go back when a process is moved to another machine.
 	i.Served("w", 3, testTime.Add(time.Hour))
 	i.Served("w", 3, testTime)
