shares: test of the operator command with the measurement off

Cause: nothing checked clementinectl shares against running processes.

Measured: the spec, controlsvc, syncer, shares, ctl and api pass.

--- a/standin/e2e/operators_test.go
+++ b/standin/e2e/operators_test.go
@@ -53,6 +53,11 @@
 		Expect(code).To(BeZero(), text)
 		Expect(text).To(ContainSubstring("nothing changed"))
 	})
+	It("shows that the use of workspaces is not measured unless the settings say so", func() {
+		text, code := f.RunCtl("shares")
+		Expect(code).To(BeZero(), text)
+		Expect(text).To(ContainSubstring("standings known false, 0 of"))
+	})
 	It("makes a change once although the leader is killed and the change is repeated with the same request id", func() {
 		revision := f.currentRevision()
 		args := []string{"--timeout", "30s", "server", "out", "cheap-north", "--force", "--request-id", "once", "--base", fmt.Sprint(revision)}
