--- a/server/entry/routed_run.go
+++ b/server/entry/routed_run.go
@@ -19,10 +19,12 @@
 			h.endRouted(ctx, w, rq, p)
 			return
 		}
+		h.meterPlacement(rq)
 		f := h.attemptRouted(ctx, w, rq, placed)
 		if f == nil {
 			return
 		}
+		h.meterFailure(rq, f)
 		if p := h.checkRoutedRetry(ctx, rq, placed.server, f); p != nil {
 			h.endRouted(ctx, w, rq, p)
 			return
@@ -182,6 +184,7 @@
 func (h *Handler) endRouted(ctx context.Context, w http.ResponseWriter, rq *request, p *problem.Problem) {
 	call := rq.routed
 	h.logRefusal(rq, p)
+	h.meterRefusal(rq, p)
 	switch {
 	case call.answerStarted:
 		// Part of the answer was delivered. Only an aborted connection shows the caller that it is incomplete.
