entry: overload control for routed requests, with decisions and queues in a package of their own

Cause: under overload, instances queue by running requests on the own instance, refuse after a fixed share of the target time with the same Retry-After for all, and place less urgent requests before urgent ones because their target times are longer. Change: server/admission takes over entry/queue.go. No measurement with the control on yet.

--- /dev/null
+++ b/server/admission/decide.go
@@ -0,0 +1,302 @@
+// Package admission decides whether a request runs now, waits in this entry instance, or is rejected, and in which order requests wait.
+// Decide and Compare are functions of a snapshot and a clock. Pools learns the values of the snapshot from placements and answers, and
+// Queue holds the requests that wait.
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+// Request holds the properties of a request that decisions depend on.
+type Request struct {
+	// Rank is the rank under overload; 0 is the most urgent. Values outside 0 to MaxRank count as the nearest one.
+	Rank int
+	// Standing is the use of the request's workspace in the fleet, divided by its fair share. 0 or less means unknown and counts as 1.
+	Standing float64
+	// Cost is the expected engine time of the request in any unit that is the same for all requests of the pool.
+	Cost float64
+	// MeanCost is the mean of Cost over the recent requests of the pool and rank, 0 if unknown.
+	MeanCost float64
+	// Arrived is when the request arrived, and WaitingSince is when the wait for the present attempt began.
+	Arrived, WaitingSince time.Time
+	// Target is the wanted time to the first event of the answer; 0 means that none is set.
+	Target time.Duration
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+	// Retry is true if this instance rejected the request before.
+	Retry bool
+	// Attempted is true if an attempt was made. The request then waits until its deadline, as another backend server may have run it.
+	Attempted bool
+	// Draw is a number of the request, 0 to 1, which decides whether it belongs to the share of its rank that is held back.
+	Draw float64
+}
+
+// Snapshot is the state of a pool at one moment, as seen by this entry instance.
+type Snapshot struct {
+	// Full reports whether the best backend server counts as full whatever the rank of the request.
+	Full bool
+	// Load is the number of requests on the best backend server divided by its slots. Unread reports whether requests wait there
+	// for their prompts to be read.
+	Load   float64
+	Unread bool
+	// FirstEvent is the expected time from the dispatch to the first event on the best backend server, 0 if unknown.
+	FirstEvent time.Duration
+	// UseKnown reports whether Use and Queued are known. Use is the share of the pool's slots that are in use, and Queued is true if
+	// requests wait at its backend servers.
+	UseKnown bool
+	Use      float64
+	Queued   bool
+	// Outdated is true if the fleet table is too old for a rejection for lateness.
+	Outdated bool
+	// ReleaseRate is the number of placements per second that end on this instance, 0 if unknown.
+	ReleaseRate float64
+	// Ahead is the number of requests that wait for the pool in this instance and come before the request. MoreUrgentAhead is true if
+	// one of them has a more urgent rank.
+	Ahead           int
+	MoreUrgentAhead bool
+	// Late holds the recent share of requests of each rank that got no first event within their target time, 0 if unknown.
+	Late [MaxRank + 1]float64
+	// Targets holds the target time of the recent requests of each rank, 0 if there were none.
+	Targets [MaxRank + 1]time.Duration
+}
+
+// MaxRank is the least urgent rank.
+const MaxRank = 9
+
+// Action is what happens to a request now.
+type Action int
+
+// Actions of a Decision.
+const (
+	Run Action = iota
+	Wait
+	Reject
+)
+
+// String returns the name of the action, which is also the value of a metric label.
+func (a Action) String() string { return [...]string{"run", "wait", "reject"}[a] }
+
+// Reason says why a decision was made. It is also the value of a metric label.
+type Reason string
+
+// Reasons of decisions.
+const (
+	// ReasonFree means that the pool has capacity for the request.
+	ReasonFree Reason = "free"
+	// ReasonIdle means that under half of the pool is in use.
+	ReasonIdle Reason = "idle"
+	// ReasonFull means that the request would wait at the best backend server.
+	ReasonFull Reason = "full"
+	// ReasonOrder means that requests wait that come before this one.
+	ReasonOrder Reason = "order"
+	// ReasonHeld means that the request is held back in favour of more urgent ranks.
+	ReasonHeld Reason = "held"
+	// ReasonLate means that the request can't be answered before its deadline.
+	ReasonLate Reason = "late"
+)
+
+// Decision is the result of Decide.
+type Decision struct {
+	Action Action
+	Reason Reason
+	// Until is when a request that waits is rejected, unless a later decision says otherwise.
+	Until time.Time
+	// Held is true if the request is held back in favour of more urgent ranks. Other requests then don't wait behind it.
+	Held bool
+	// ExpectedStart is the expected time until the request can start, 0 if unknown.
+	ExpectedStart time.Duration
+}
+
+const (
+	// waitPercent is the percentage of the target time that a request may wait in any case. A caller that is refused then has time
+	// to retry.
+	waitPercent = 60
+	// longWaitPercent is the percentage of the time between arrival and deadline that a request may wait when it displaces nothing
+	// more urgent. A caller that is refused then has as much time left as it has spent.
+	longWaitPercent = 50
+	// idleUse is the share of a pool's slots in use under which no request is rejected.
+	idleUse = 0.5
+)
+
+// Decide returns what happens to a request now. It is called again while the request waits.
+//
+// Load patterns: a surge over the capacity of a pool, in which requests that can't be answered in time would take capacity from those
+// that can, and less urgent requests would be served more often than urgent ones; pools that lose servers or speed for a while.
+func Decide(now time.Time, r *Request, s *Snapshot) Decision {
+	if s.idle() && s.Ahead == 0 {
+		return Decision{Action: Run, Reason: ReasonIdle}
+	}
+	left, full := r.Deadline.Sub(now), s.fullFor(r)
+	start := expectedStart(s, full)
+	if !s.Outdated && !r.Attempted && expectedAnswer(r, s, start) > left {
+		return Decision{Action: Reject, Reason: ReasonLate, ExpectedStart: start}
+	}
+	held := s.UseKnown && !r.Attempted && r.Draw < HeldShare(r.Rank, r.Retry, &s.Late)
+	d := Decision{Action: Wait, ExpectedStart: start}
+	switch {
+	case s.Ahead > 0:
+		d.Reason = ReasonOrder
+	case full:
+		d.Reason = ReasonFull
+	case held:
+		d.Reason = ReasonHeld
+	default:
+		return Decision{Action: Run, Reason: ReasonFree}
+	}
+	d.Held = held
+	d.Until = waitEnd(r, held || s.MoreUrgentAhead || s.FirstEvent <= 0 && s.ReleaseRate <= 0)
+	if !now.Before(d.Until) {
+		d.Action = Reject
+	}
+	return d
+}
+
+// idle reports whether the pool has so much unused capacity that no request is rejected.
+func (s *Snapshot) idle() bool { return s.UseKnown && s.Use < idleUse && !s.Queued }
+
+const (
+	// queuePerRank is the part of the queue at the best backend server that a request leaves to each more urgent rank of its pool. A
+	// queue that is as long as the target time of the most urgent rank allows is used by that rank only.
+	queuePerRank = 0.25
+	// maxQueueLeft leaves some of the queue to the least urgent ranks.
+	maxQueueLeft = 0.75
+	// slotsInUse is the load at which all slots are in use, and longestQueue is the largest load beyond it that a backend server
+	// takes (see balance.Candidate.Full).
+	slotsInUse   = 1
+	longestQueue = 0.5
+)
+
+// fullFor reports whether the request would wait too long at the best backend server: in an engine whose queue exceeds the target
+// time, a request loses its order and can't be sent elsewhere. The queue that less urgent requests accept is shorter, so that they wait
+// here first.
+func (s *Snapshot) fullFor(r *Request) bool {
+	if s.Full {
+		return true
+	}
+	rank, target, moreUrgent := clampRank(r.Rank), r.Target, 0
+	for _, t := range s.Targets[:rank] {
+		if t <= 0 {
+			continue
+		}
+		moreUrgent++
+		if target <= 0 || t < target {
+			target = t
+		}
+	}
+	left := min(float64(moreUrgent)*queuePerRank, maxQueueLeft)
+	if moreUrgent > 0 && s.Load >= slotsInUse+longestQueue*(1-left) {
+		return true
+	}
+	queued := s.Load >= slotsInUse || s.Unread
+	return queued && target > 0 && s.FirstEvent > time.Duration(float64(target)*(1-left))
+}
+
+// expectedStart returns the expected time until the request can start, 0 if it can start now or the time is unknown.
+func expectedStart(s *Snapshot, full bool) time.Duration {
+	if s.ReleaseRate <= 0 || s.Ahead <= 0 && !full {
+		return 0
+	}
+	return seconds(float64(max(s.Ahead, 0)+1) / s.ReleaseRate)
+}
+
+// expectedAnswer returns the expected time until the first event. The queue of the best backend server gets shorter while the request
+// waits here, so of the time to the first event only as much is added to the wait as the target allows.
+func expectedAnswer(r *Request, s *Snapshot, start time.Duration) time.Duration {
+	afterWait := s.FirstEvent
+	if r.Target > 0 {
+		afterWait = min(afterWait, r.Target)
+	}
+	return max(s.FirstEvent, start+afterWait)
+}
+
+// waitEnd returns when a request that can't start is rejected. short is true if more urgent requests are displaced by it, or if nothing
+// is known of the pool's capacity.
+func waitEnd(r *Request, short bool) time.Time {
+	if r.Attempted {
+		return r.Deadline
+	}
+	total := r.Deadline.Sub(r.Arrived)
+	long := r.Arrived.Add(total * longWaitPercent / 100)
+	if !short {
+		return long
+	}
+	if r.Target <= 0 {
+		return earlier(long, r.WaitingSince.Add(total*longWaitPercent/100))
+	}
+	return earlier(long, r.WaitingSince.Add(r.Target*waitPercent/100))
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+const (
+	// lateTolerance is the difference between the shares of late requests of two ranks that is ignored: no kind may be served less
+	// often than a less urgent one by over 5 in 100.
+	lateTolerance = 0.05
+	// heldPerLate is the share of a rank that is held back for each unit by which a more urgent rank is late more often. With 4, the
+	// difference that remains is about a fifth of the one without control.
+	heldPerLate = 4
+	// maxHeldShare leaves a quarter of each rank, so that no kind of request is starved.
+	maxHeldShare = 0.75
+)
+
+// HeldShare returns the share, 0 to maxHeldShare, of the requests of a rank that wait because more urgent ranks are late more often.
+// A retry after a rejection is held back half as often.
+func HeldShare(rank int, retry bool, late *[MaxRank + 1]float64) float64 {
+	rank = clampRank(rank)
+	worst := 0.0
+	for _, share := range late[:rank] {
+		worst = max(worst, finite(share))
+	}
+	held := min(max(heldPerLate*(worst-finite(late[rank])-lateTolerance), 0), maxHeldShare)
+	if retry {
+		return held / 2
+	}
+	return held
+}
+
+func clampRank(rank int) int { return min(max(rank, 0), MaxRank) }
+
+// finite returns v, or 0 if v is not a number or infinite.
+func finite(v float64) float64 {
+	if math.IsNaN(v) || math.IsInf(v, 0) {
+		return 0
+	}
+	return v
+}
+
+// seconds converts a number of seconds to a duration; absurd values become the longest duration that can be added to others.
+func seconds(s float64) time.Duration {
+	const longest = float64(time.Hour)
+	return time.Duration(min(max(finite(s)*float64(time.Second), 0), longest))
+}
+
+const (
+	// retryLeftDivisor bounds Retry-After to a third of the time left: callers honour no more than that.
+	retryLeftDivisor = 3
+	// minRetryAfter is the shortest Retry-After. It is also the unit in which the platform's header is written.
+	minRetryAfter = 10 * time.Millisecond
+)
+
+// RetryAfter returns when a retry of a rejected request makes sense: about the time until the pool is expected to have capacity for its
+// rank. Two thirds of the largest value are random, drawn from random (0 to 1), and it is at most a third of the time left.
+//
+// Load patterns: clients that all retry at the same moment after a burst of rejections, and clients that retry several times at once.
+func RetryAfter(now time.Time, r *Request, s *Snapshot, random float64) time.Duration {
+	left := max(r.Deadline.Sub(now), 0)
+	expected := expectedStart(s, s.fullFor(r))
+	if r.Target > 0 {
+		expected = max(expected, s.FirstEvent-r.Target)
+	}
+	if expected <= 0 {
+		// Nothing is known of the pool: the retries are spread over the time that callers honour.
+		expected = left / retryLeftDivisor
+	}
+	largest := min(expected*3/2, left/retryLeftDivisor)
+	return max(largest/3+time.Duration(min(max(finite(random), 0), 1)*float64(largest*2/3)), minRetryAfter)
+}
--- /dev/null
+++ b/server/admission/pools.go
@@ -0,0 +1,244 @@
+package admission
+
+import (
+	"hash/maphash"
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	// maxPools is the largest number of pools with learned values; the one that was used least recently is dropped for a new one.
+	maxPools = 256
+	// maxRejected is the largest number of rejected requests that are remembered until their retry.
+	maxRejected = 4096
+	// outcomeWeight is the least weight of one request in the running share of late requests.
+	outcomeWeight = 1.0 / 32
+	// minOutcomes is the number of requests from which the share of late requests counts.
+	minOutcomes = 8
+	// costWeight is the weight of one request in the running mean of the cost.
+	costWeight = 1.0 / 32
+	// memoryTargets is the number of target times over which learned values are kept. It holds several generations of requests, and an
+	// overload that has ended no longer counts after a few of them.
+	memoryTargets = 4
+	// minMemory is the shortest such time, for pools with target times of some milliseconds.
+	minMemory = time.Second
+	// signalTargets is the number of target times for which the pool's state that one request saw holds for others that wait.
+	signalTargets = 0.25
+)
+
+// Pools learns the state of each pool from placements and answers of this entry instance. The state is soft: it is lost with the process,
+// bounded by maxPools and maxRejected, and forgotten after some target times. It is safe for concurrent use.
+type Pools struct {
+	mu       sync.Mutex // guards the fields below
+	pools    map[string]*pool
+	rejected map[uint64]time.Time
+	seed     maphash.Seed
+}
+
+type pool struct {
+	used time.Time
+	// memory is the time over which values are kept, from the longest target time that was seen.
+	memory time.Duration
+	// releases is the number of releases since the pool became busy, each weighted by its age. The pool is busy from busySince to
+	// busyUntil, the last time at which a request found it full. Only then do releases show its capacity.
+	releases             float64
+	releasedAt           time.Time
+	busySince, busyUntil time.Time
+	ranks                [MaxRank + 1]rankState
+	signal               Snapshot
+	signalAt             time.Time
+	// reportedWork is when a backend server last reported how long work takes on its machine.
+	reportedWork time.Time
+}
+
+type rankState struct {
+	late     float64
+	count    int
+	lateAt   time.Time
+	meanCost float64
+	// target is the target time of the last request, which came at seen.
+	target time.Duration
+	seen   time.Time
+}
+
+// NewPools returns an empty Pools.
+func NewPools() *Pools {
+	return &Pools{pools: map[string]*pool{}, rejected: map[uint64]time.Time{}, seed: maphash.MakeSeed()}
+}
+
+func (p *Pools) get(name string, now time.Time) *pool {
+	s := p.pools[name]
+	if s == nil {
+		if len(p.pools) >= maxPools {
+			p.evictOldest()
+		}
+		s = &pool{memory: minMemory}
+		p.pools[name] = s
+	}
+	s.used = now
+	return s
+}
+
+func (p *Pools) evictOldest() {
+	oldest, at := "", time.Time{}
+	for name, s := range p.pools {
+		if oldest == "" || s.used.Before(at) {
+			oldest, at = name, s.used
+		}
+	}
+	delete(p.pools, oldest)
+}
+
+// Observe records the state of a pool that a request saw: the fields of the snapshot from Full to Outdated. busy is true if the request
+// does not run now, and workReported if a backend server reported how long work takes on its machine.
+func (p *Pools) Observe(now time.Time, name string, s Snapshot, busy, workReported bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	state := p.get(name, now)
+	state.signal, state.signalAt = s, now
+	if busy {
+		if now.Sub(state.busyUntil) > state.memory/4 {
+			state.busySince, state.releases = now, 0
+		}
+		state.busyUntil = now
+	}
+	if workReported {
+		state.reportedWork = now
+	}
+}
+
+// ReportsWork reports whether backend servers of the pool have recently reported how long work takes on their machines.
+func (p *Pools) ReportsWork(now time.Time, name string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.pools[name]
+	return s != nil && !s.reportedWork.IsZero() && now.Sub(s.reportedWork) <= reportedWorkLifetime
+}
+
+// reportedWorkLifetime is how long a report of a machine's speed shows that the pool's servers send such reports.
+const reportedWorkLifetime = time.Minute
+
+// Snapshot adds the learned values to the state of a pool.
+func (p *Pools) Snapshot(now time.Time, name string, s Snapshot) Snapshot {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if state := p.pools[name]; state != nil {
+		state.addLearned(now, &s)
+	}
+	return s
+}
+
+// LastSnapshot returns the state that a request saw last, with the learned values. It is Outdated, so that it causes no rejection for
+// lateness, if it is older than a fraction of the target time.
+func (p *Pools) LastSnapshot(now time.Time, name string, target time.Duration) Snapshot {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	state := p.pools[name]
+	if state == nil {
+		return Snapshot{Outdated: true}
+	}
+	s := state.signal
+	if float64(now.Sub(state.signalAt)) > max(signalTargets*float64(target), float64(2*pollInterval)) {
+		s.Outdated, s.UseKnown = true, false
+	}
+	state.addLearned(now, &s)
+	return s
+}
+
+func (s *pool) addLearned(now time.Time, out *Snapshot) {
+	out.ReleaseRate = s.releaseRate(now)
+	for i := range s.ranks {
+		r := &s.ranks[i]
+		out.Late[i], out.Targets[i] = r.lateShare(now, s.memory), 0
+		if now.Sub(r.seen) <= s.memory {
+			out.Targets[i] = r.target
+		}
+	}
+}
+
+// releaseRate returns the number of releases per second, 0 until the pool has been busy for half of the time that values are kept.
+func (s *pool) releaseRate(now time.Time) float64 {
+	busy := now.Sub(s.busySince)
+	if s.busySince.IsZero() || busy < s.memory/2 || now.Sub(s.busyUntil) > s.memory/4 {
+		return 0
+	}
+	counted := s.memory.Seconds() * (1 - decay(busy, s.memory))
+	return s.releases * decay(now.Sub(s.releasedAt), s.memory) / counted
+}
+
+func (r *rankState) lateShare(now time.Time, memory time.Duration) float64 {
+	if r.count < minOutcomes {
+		return 0
+	}
+	// A rank without requests for a while is not held against others.
+	return r.late * decay(max(now.Sub(r.lateAt)-memory, 0), memory)
+}
+
+// decay returns the weight of a value of this age.
+func decay(age, memory time.Duration) float64 {
+	return math.Exp(-float64(max(age, 0)) / float64(memory))
+}
+
+// RecordRequest records the cost and the target time of a request that asks for a place, and returns the mean cost of its rank.
+func (p *Pools) RecordRequest(now time.Time, name string, rank int, cost float64, target time.Duration) (meanCost float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.get(name, now)
+	s.memory = max(s.memory, min(memoryTargets*target, time.Minute))
+	r := &s.ranks[clampRank(rank)]
+	r.target, r.seen = target, now
+	if cost = max(finite(cost), 0); r.meanCost == 0 {
+		r.meanCost = cost
+	}
+	r.meanCost += costWeight * (cost - r.meanCost)
+	return r.meanCost
+}
+
+// RecordRelease records that a placement ended.
+func (p *Pools) RecordRelease(now time.Time, name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.get(name, now)
+	s.releases = s.releases*decay(now.Sub(s.releasedAt), s.memory) + 1
+	s.releasedAt = now
+}
+
+// RecordOutcome records whether a request got its first event within its target time.
+func (p *Pools) RecordOutcome(now time.Time, name string, rank int, late bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := &p.get(name, now).ranks[clampRank(rank)]
+	r.count++
+	value := 0.0
+	if late {
+		value = 1
+	}
+	r.late += max(outcomeWeight, 1/float64(r.count)) * (value - r.late)
+	r.lateAt = now
+}
+
+// RecordRejected remembers a rejected request until its caller's deadline.
+func (p *Pools) RecordRejected(now time.Time, id string, deadline time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.rejected) >= maxRejected {
+		for key, end := range p.rejected {
+			if end.Before(now) {
+				delete(p.rejected, key)
+			}
+		}
+		if len(p.rejected) >= maxRejected {
+			clear(p.rejected)
+		}
+	}
+	p.rejected[maphash.String(p.seed, id)] = deadline
+}
+
+// WasRejected reports whether this instance rejected an earlier call with the same id.
+func (p *Pools) WasRejected(now time.Time, id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	end, ok := p.rejected[maphash.String(p.seed, id)]
+	return ok && now.Before(end)
+}
--- a/server/daemon/adapter.go
+++ b/server/daemon/adapter.go
@@ -18,6 +18,14 @@
 	Control(api ControlAPI) http.Handler
 	// Readiness returns the handler of the readiness listener; it calls ready, the router's own handler.
 	Readiness(ready http.Handler) http.Handler
+	// Features returns what the contracts of the platform switch on. Unknown names switch nothing on.
+	Features(contracts []string) Features
+}
+
+// Features are the parts of the router that a platform's contracts switch on, in addition to the settings.
+type Features struct {
+	// OverloadControl applies overload control to all routed requests.
+	OverloadControl bool
 }
 
 // ControlAPI holds the control functions of the router that an adapter calls.
@@ -40,3 +48,6 @@
 
 // Readiness implements Adapter.
 func (noAdapter) Readiness(ready http.Handler) http.Handler { return ready }
+
+// Features implements Adapter.
+func (noAdapter) Features([]string) Features { return Features{} }
--- a/server/daemon/entry.go
+++ b/server/daemon/entry.go
@@ -45,7 +45,8 @@
 		RoutedRetryRatio: retryBudgetShare * s.RetryRatio, RoutedRetrySlack: retryBudgetShare * s.RetrySlack, SureConfidence: s.SureConfidence,
 		Dialect: adapter.Dialect(), DrainDelay: s.StopGrace * drainDelayPercent / 100, StreamDrainDelay: s.StopGrace * streamDrainDelayPercent / 100,
 		MaxViewAge: s.MaxViewAge, MaxBody: int64(s.MaxBodyBytes), RequestLimit: s.RequestTimeLimit,
-		AnswerBuffer: int64(s.MemoryLimitMB) << 20 / answerBufferDivisor, RequestBuffer: int64(s.MemoryLimitMB) << 20 / requestBufferDivisor,
+		OverloadControl: s.OverloadControl || adapter.Features(s.Contracts).OverloadControl,
+		AnswerBuffer:    int64(s.MemoryLimitMB) << 20 / answerBufferDivisor, RequestBuffer: int64(s.MemoryLimitMB) << 20 / requestBufferDivisor,
 	})
 }
 
--- a/server/entry/config.go
+++ b/server/entry/config.go
@@ -102,10 +102,20 @@
 	// StreamDrainDelay is how long new routed streams are accepted after Drain was called; they have to end before the process
 	// stops. Default 0.
 	StreamDrainDelay time.Duration
+	// OverloadControl applies overload control to all routed requests (package admission). Without it, it applies to the pools whose
+	// backend servers report how long work takes on their machines. Default false.
+	OverloadControl bool
+	// Standings holds the fleet-wide standing of each workspace. If nil, every standing is unknown and counts as 1.
+	Standings Standings
 	// ControlTimeout bounds each call to the control group. Default 3 s, the longest time without a leader.
 	ControlTimeout time.Duration
 }
 
+// Standings returns the fleet-wide use of a workspace divided by its fair share.
+type Standings interface {
+	Standing(workspace string, now time.Time) (ratio float64, known bool)
+}
+
 func (c *Config) validate() error {
 	switch {
 	case c.Instance == "" || c.Boot == "":
--- a/server/entry/handler.go
+++ b/server/entry/handler.go
@@ -13,6 +13,7 @@
 	"clementinetray/api/catalogue"
 	"clementinetray/api/event"
 	"clementinetray/api/problem"
+	"clementinetray/server/admission"
 	"clementinetray/server/balance"
 	"clementinetray/server/retry"
 )
@@ -31,10 +32,13 @@
 	slots            *slotHolder
 	sessions         *sessionCache
 	answers          *answerStore
-	queue            *waitQueue
-	outcomes         *outcomeCounts
-	latency          *latencyWatch
-	crashes          *crashCache
+	// queue holds the requests that wait for a backend server, except those with overload control, which wait in controlledQueue.
+	queue, controlledQueue *admission.Queue
+	// pools learns the state of the pools with overload control.
+	pools    *admission.Pools
+	outcomes *outcomeCounts
+	latency  *latencyWatch
+	crashes  *crashCache
 	// answeredRequests holds the fingerprints of routed requests that got a complete answer. A crash is not attributed
 	// to them.
 	answeredRequests *answeredSet
@@ -103,8 +107,10 @@
 	h := &Handler{
 		cfg: cfg, metrics: m, keepAliveTransport: newTransport(false), singleUseTransport: newTransport(true), forwardTransport: newTransport(false),
 		bills: newBiller(&cfg, m), sessions: newSessionCache(cfg.SessionCache),
-		answers: newAnswerStore(cfg.AnswerRetention, cfg.AnswerMemory, m), queue: newWaitQueue(cfg.MaxWaiting, m),
-		outcomes: newOutcomeCounts(), latency: newLatencyWatch(), crashes: newCrashCache(), runningAttempts: newRunningAttempts(),
+		answers: newAnswerStore(cfg.AnswerRetention, cfg.AnswerMemory, m), pools: admission.NewPools(),
+		queue:           admission.NewQueue(cfg.MaxWaiting, admission.ByPriority, m.addWaiting),
+		controlledQueue: admission.NewQueue(cfg.MaxWaiting, admission.ByRequest, m.addWaiting),
+		outcomes:        newOutcomeCounts(), latency: newLatencyWatch(), crashes: newCrashCache(), runningAttempts: newRunningAttempts(),
 		balance: balance.NewTracker(), boundSessions: newBoundSessions(), oldVersionSessions: newKeptSessions(), answeredRequests: newAnsweredSet(), parts: newPartWatch(), rollouts: newRolloutTimes(), rolloutSamples: newRolloutSamples(), budgets: map[string]*retry.Budget{},
 		idle: make(chan struct{}), stopBackground: stop,
 	}
--- a/server/entry/internal_test.go
+++ b/server/entry/internal_test.go
@@ -15,7 +15,6 @@
 	"clementinetray/api/catalogue"
 	"clementinetray/api/control"
 	"clementinetray/server/blackboard"
-	"clementinetray/server/limits"
 )
 
 func testMetrics() *metrics {
@@ -24,60 +23,6 @@
 	return m
 }
 
-func testWaiter(pool string, priority int, usage float64) *waiter {
-	return &waiter{
-		QueuedRequest: limits.QueuedRequest{Priority: priority, Use: usage, Since: time.Now()},
-		pool:          pool, wake: make(chan struct{}, 1), refused: make(chan struct{}),
-	}
-}
-
-var _ = Describe("the wait queue", func() {
-	// Guards against the refusal of an important request, or of a small workspace, in favour of another.
-	DescribeTable("refuses the lowest class and then the largest share first",
-		func(first, second *waiter, refused int) {
-			q := newWaitQueue(1, testMetrics())
-			q.enqueue(first)
-			q.enqueue(second)
-			both := []*waiter{first, second}
-			Expect(both[refused].refused).To(BeClosed())
-			Expect(both[1-refused].refused).NotTo(BeClosed())
-		},
-		Entry("lower class came first", testWaiter("p", 1, 0), testWaiter("p", 2, 9), 0),
-		Entry("lower class came second", testWaiter("p", 2, 9), testWaiter("p", 1, 0), 1),
-		Entry("larger share came first", testWaiter("p", 1, 3), testWaiter("p", 1, 2), 0),
-		Entry("larger share came second", testWaiter("p", 1, 2), testWaiter("p", 1, 3), 1),
-		Entry("equal rank: the later one is refused", testWaiter("p", 1, 2), testWaiter("p", 1, 2), 1),
-	)
-
-	It("lets no request overtake one of the same pool with a higher rank (guards against starvation by new requests)", func() {
-		q := newWaitQueue(10, testMetrics())
-		waiting := testWaiter("p", 2, 1)
-		q.enqueue(waiting)
-		passes := func(w *waiter) bool { return !q.isOutranked(nil, func() *waiter { return w }) }
-		Expect(passes(testWaiter("p", 1, 0))).To(BeFalse())
-		Expect(passes(testWaiter("p", 2, 2))).To(BeFalse())
-		Expect(passes(testWaiter("p", 3, 9))).To(BeTrue())
-		Expect(passes(testWaiter("other", 1, 0))).To(BeTrue())
-		Expect(q.isOutranked(waiting, nil)).To(BeFalse())
-		By("not waiting behind a request that may not use every backend server")
-		q.setPool(waiting, "")
-		Expect(passes(testWaiter("p", 1, 0))).To(BeTrue())
-		Expect(passes(testWaiter("", 1, 0))).To(BeTrue())
-	})
-
-	It("wakes the next waiter when one leaves (guards against a free backend server that no request uses)", func() {
-		q := newWaitQueue(10, testMetrics())
-		first, second := testWaiter("p", 2, 0), testWaiter("p", 1, 0)
-		q.enqueue(second)
-		q.enqueue(first)
-		q.wakeFirst("p")
-		Expect(first.wake).To(Receive())
-		Expect(second.wake).NotTo(Receive())
-		q.remove(first)
-		Expect(second.wake).To(Receive())
-	})
-})
-
 var _ = Describe("a connection", func() {
 	pair := func() *sealableConn {
 		near, far := net.Pipe()
--- a/server/entry/metrics.go
+++ b/server/entry/metrics.go
@@ -22,6 +22,7 @@
 	queuedBills       prometheus.Gauge
 	openRequests      prometheus.Gauge
 	waitingRequests   prometheus.Gauge
+	admissions        *prometheus.CounterVec
 	answerBufferBytes prometheus.Gauge
 	firstTokenSeconds prometheus.Histogram
 }
@@ -55,6 +56,9 @@
 		openRequests:      gauge("open_requests", "Requests that have not ended."),
 		waitingRequests:   gauge("waiting_requests", "Requests that wait for a backend server."),
 		answerBufferBytes: gauge("answer_buffer_bytes", "Bytes of stream events kept for callers that reconnect."),
+		admissions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metricNamespace, Subsystem: "entry", Name: "admissions_total", Help: "Decisions of overload control by decision and reason.",
+		}, []string{"decision", "reason"}),
 		firstTokenSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: metricNamespace, Subsystem: "entry", Name: "first_token_seconds", Help: "Time from the request to the first event of the answer.",
 			Buckets: []float64{.01, .025, .05, .1, .25, .5, 1, 2, 5, 10, 30},
@@ -62,7 +66,7 @@
 	}
 	for _, c := range []prometheus.Collector{
 		m.requests, m.refusals, m.attempts, m.droppedAnswers, m.bills, m.ratings, m.retries, m.continuedStreams, m.crashes, m.serverStatements, m.lateBills,
-		m.panics, m.queuedBills, m.openRequests, m.waitingRequests, m.answerBufferBytes, m.firstTokenSeconds,
+		m.panics, m.queuedBills, m.openRequests, m.waitingRequests, m.admissions, m.answerBufferBytes, m.firstTokenSeconds,
 	} {
 		if err := r.Register(c); err != nil {
 			return nil, Error.Wrap(err)
@@ -70,3 +74,5 @@
 	}
 	return m, nil
 }
+
+func (m *metrics) addWaiting(change int) { m.waitingRequests.Add(float64(change)) }
--- a/server/entry/place.go
+++ b/server/entry/place.go
@@ -8,6 +8,7 @@
 
 	"clementinetray/api/control"
 	"clementinetray/api/problem"
+	"clementinetray/server/admission"
 	"clementinetray/server/limits"
 	"clementinetray/server/routing"
 )
@@ -46,17 +47,28 @@
 
 // place chooses a version and a backend server and acquires the slots that they need. While every candidate is full the
 // request waits in the queue; nothing has been dispatched for this attempt yet.
-func (h *Handler) place(ctx context.Context, rq *request) (*placement, *problem.Problem) {
-	var waiting *waiter
-	defer func() {
-		if waiting != nil {
-			h.queue.remove(waiting)
-		}
-	}()
-	start := time.Now()
+func (h *Handler) place(ctx context.Context, rq *request) (placed *placement, p *problem.Problem) {
+	w := &wait{h: h, rq: rq, start: time.Now()}
+	// Also after a panic: other requests must not wait behind one that has ended.
+	defer func() { w.end(p) }()
+	return w.run(ctx)
+}
+
+// wait is the search for a backend server for one attempt, with the time in the queue.
+type wait struct {
+	h     *Handler
+	rq    *request
+	start time.Time
+	// queue is the queue that waiter is in; both are nil while the request is not queued.
+	queue  *admission.Queue
+	waiter *admission.Waiter
+}
+
+func (w *wait) run(ctx context.Context) (*placement, *problem.Problem) {
+	h, rq := w.h, w.rq
 	for {
 		_, fleetChanged := h.cfg.Board.Fleet.Watch()
-		placed, p := h.tryPlace(ctx, rq, waiting)
+		placed, p := h.tryPlace(ctx, rq, w)
 		if p == nil {
 			return placed, nil
 		}
@@ -70,31 +82,79 @@
 		if p.Reason != problem.Overloaded && p.Reason != problem.NoBackendServer || rq.noWait {
 			return nil, p
 		}
-		if waiting == nil {
-			waiting = h.newWaiter(rq)
-			h.queue.enqueue(waiting)
-		}
-		h.queue.setPool(waiting, rq.poolName())
-		if refused := h.queue.wait(ctx, waiting, fleetChanged, h.waitDeadline(rq, start, p.Reason), p); refused != nil {
+		w.enqueue()
+		switch w.queue.Wait(ctx, w.waiter, fleetChanged, h.waitDeadline(rq, w.start, p.Reason)) {
+		case admission.TryAgain:
+		case admission.Refused:
+			p = problem.New(problem.Overloaded, "requests of a higher class or of a smaller share wait already").WithRetryAfter(h.overflowRetryAfter(rq))
+			fallthrough
+		default:
 			if expired := h.checkExpired(ctx, rq); expired != nil {
 				return nil, expired
 			}
-			return nil, refused
+			return nil, p
 		}
 		rq.includeBusyServers()
 	}
 }
 
+// enqueue puts the request into the queue that it belongs to, or updates its entry there.
+func (w *wait) enqueue() {
+	now, queue := time.Now(), w.h.queueOf(w.rq)
+	if w.queue != nil && w.queue != queue {
+		w.queue.Remove(now, w.waiter)
+		w.queue = nil
+	}
+	if w.queue == nil {
+		w.queue, w.waiter = queue, w.h.newWaiter(w.rq)
+		queue.Enqueue(now, w.waiter)
+	}
+	if routed := w.rq.routed; routed != nil {
+		queue.Update(w.waiter, w.rq.poolName(), routed.admission, routed.decision.Held)
+		return
+	}
+	queue.Update(w.waiter, w.rq.poolName(), nil, false)
+}
+
+// end takes the request out of the queue. p is nil if it has a backend server now.
+func (w *wait) end(p *problem.Problem) {
+	if w.queue != nil {
+		w.queue.Remove(time.Now(), w.waiter)
+	}
+	w.h.recordWaitEnd(w, p)
+}
+
+// queueOf returns the queue in which the request waits. Requests with overload control have a queue of their own, as the two orders
+// can't be compared.
+func (h *Handler) queueOf(rq *request) *admission.Queue {
+	if rq.routed != nil && rq.routed.controlled {
+		return h.controlledQueue
+	}
+	return h.queue
+}
+
+// isOutranked reports whether a waiting request without overload control comes before this one. w may have no queue entry yet.
+func (h *Handler) isOutranked(rq *request, w *wait) bool {
+	waiter := w.waiter
+	if w.queue != h.queue {
+		waiter = nil
+	}
+	return h.queue.IsOutranked(time.Now(), waiter, func() *admission.Waiter { return h.newWaiter(rq) })
+}
+
 // newWaiter returns the queue entry of a request that is about to wait.
-func (h *Handler) newWaiter(rq *request) *waiter {
-	w := rq.route.Workspace
-	if rq.routed != nil {
-		return h.newRoutedWaiter(rq)
+func (h *Handler) newWaiter(rq *request) *admission.Waiter {
+	name, weight := rq.workspaceName(), 0.0
+	if w := rq.route.Workspace; w != nil {
+		weight = w.Weight
 	}
-	return &waiter{
-		QueuedRequest: limits.QueuedRequest{Priority: rq.priority(), Use: float64(h.runningByWorkspace.get(w.Name)), Weight: w.Weight, Since: time.Now()},
-		pool:          rq.poolName(), wake: make(chan struct{}, 1), refused: make(chan struct{}),
+	var controlled *admission.Request
+	if rq.routed != nil {
+		controlled = rq.routed.admission
 	}
+	return admission.NewWaiter(rq.poolName(), limits.QueuedRequest{
+		Priority: rq.priority(), Use: float64(h.runningByWorkspace.get(name)), Weight: weight, Since: time.Now(),
+	}, controlled)
 }
 
 // poolName returns the name of the set of backend servers that the request competes for. It is empty for a request that may use
@@ -154,9 +214,8 @@
 	return problem.New(problem.DeadlineExceeded, "the deadline has passed or the caller is gone")
 }
 
-// tryPlace places the request without waiting, or returns the reason why it can't. waiting is the request's queue entry, nil
-// while it is not queued.
-func (h *Handler) tryPlace(ctx context.Context, rq *request, waiting *waiter) (*placement, *problem.Problem) {
+// tryPlace places the request without waiting, or returns the reason why it can't.
+func (h *Handler) tryPlace(ctx context.Context, rq *request, waiting *wait) (*placement, *problem.Problem) {
 	if rq.routed != nil {
 		return h.tryPlaceRouted(ctx, rq, waiting)
 	}
@@ -167,7 +226,7 @@
 	if p := h.checkPartQuarantine(rq, snap.Now); p != nil {
 		return nil, p
 	}
-	if waiting != nil && h.queue.isOutranked(waiting, nil) {
+	if waiting.queue != nil && h.isOutranked(rq, waiting) {
 		return nil, problem.New(problem.Overloaded, "other requests wait for "+rq.poolName()).WithRetryAfter(time.Second)
 	}
 	isModel := rq.route.Service == ""
@@ -176,7 +235,7 @@
 			return nil, p
 		}
 	}
-	if waiting == nil && h.queue.isOutranked(nil, func() *waiter { return h.newWaiter(rq) }) {
+	if waiting.queue == nil && h.isOutranked(rq, waiting) {
 		return nil, problem.New(problem.Overloaded, "other requests wait for "+rq.poolName()).WithRetryAfter(time.Second)
 	}
 	route := rq.route
@@ -233,7 +292,7 @@
 			}
 			// Nothing becomes free when a slot was refused. A wake-up would only make the refused request try again at once.
 			if allGranted {
-				h.queue.wakeFirst(pool)
+				h.queue.WakeFirst(time.Now(), pool)
 			}
 		})
 	}
--- a/server/entry/routed.go
+++ b/server/entry/routed.go
@@ -8,6 +8,7 @@
 
 	"clementinetray/api/catalogue"
 	"clementinetray/api/problem"
+	"clementinetray/server/admission"
 	"clementinetray/server/routing"
 )
 
@@ -40,6 +41,12 @@
 	maxBodyBytes int64
 	// deadline is the end of the route's time or of the caller's wait, whichever is first.
 	deadline time.Time
+	// controlled is true if overload control applies to the request. admission and decision are then its properties and the last
+	// decision; outcomeRecorded is true once its outcome was recorded.
+	controlled      bool
+	admission       *admission.Request
+	decision        admission.Decision
+	outcomeRecorded bool
 }
 
 // RoutedHandler returns a handler that serves every path by the routes of the catalogue, without the paths of the entry API.
--- a/server/entry/routed_place.go
+++ b/server/entry/routed_place.go
@@ -14,14 +14,12 @@
 	"clementinetray/server/balance"
 	"clementinetray/server/blackboard"
 	"clementinetray/server/fleet"
-	"clementinetray/server/limits"
 	"clementinetray/server/retry"
 	"clementinetray/server/routing"
 )
 
-// tryPlaceRouted chooses a backend server for a routed request, or returns why none can take it now. waiting is nil for a
-// request that isn't in the queue yet.
-func (h *Handler) tryPlaceRouted(ctx context.Context, rq *request, waiting *waiter) (*placement, *problem.Problem) {
+// tryPlaceRouted chooses a backend server for a routed request, or returns why none can take it now.
+func (h *Handler) tryPlaceRouted(ctx context.Context, rq *request, waiting *wait) (*placement, *problem.Problem) {
 	snap, p := h.routingSnapshot()
 	if p != nil {
 		return nil, p
@@ -32,11 +30,18 @@
 	if p := h.checkPartQuarantine(rq, snap.Now); p != nil {
 		return nil, p
 	}
-	if waiting != nil && h.queue.isOutranked(waiting, nil) || waiting == nil && h.queue.isOutranked(nil, func() *waiter { return h.newWaiter(rq) }) {
-		return nil, problem.New(problem.Overloaded, "other requests wait for "+rq.poolName()).WithRetryAfter(time.Second)
-	}
 	call := rq.routed
 	rq.noWait = false
+	h.startControl(rq, snap.Now)
+	if !call.controlled && h.isOutranked(rq, waiting) {
+		return nil, problem.New(problem.Overloaded, "other requests wait for "+rq.poolName()).WithRetryAfter(time.Second)
+	}
+	ahead, moreUrgent := h.requestsAhead(rq, waiting, snap.Now)
+	if ahead > 0 {
+		state := h.pools.LastSnapshot(snap.Now, rq.servicePool(), call.route.TargetTime())
+		state.Ahead, state.MoreUrgentAhead, state.Outdated = ahead, moreUrgent, state.Outdated || h.isFleetOutdated(snap)
+		return nil, h.decide(rq, snap.Now, &state)
+	}
 	if call.route = snap.View.Catalogue.FindRoute(call.host, call.path); call.route == nil {
 		return nil, problem.New(problem.NotFound, "the route was removed")
 	}
@@ -56,7 +61,12 @@
 	}
 	server := servers[best]
 	h.bindVersion(rq, server, snap.Now)
-	if c := &candidates[best]; c.Full(balanceReq, call.route.TargetTime()*waitSharePercent/100) {
+	c := &candidates[best]
+	full := c.Full(balanceReq, call.route.TargetTime()*waitSharePercent/100)
+	if p := h.decideAt(rq, snap, candidates, rows, best, full, balanceReq); p != nil {
+		return nil, p
+	}
+	if full && !call.controlled {
 		return nil, problem.New(problem.Overloaded, fmt.Sprintf("each backend server of %s is full, the best one has a load of %.2f and answers in %v",
 			call.service, c.Load, c.Latency)).WithRetryAfter(time.Second)
 	}
@@ -129,7 +139,9 @@
 	release := func() {
 		once.Do(func() {
 			onDone()
-			h.queue.wakeFirst(pool)
+			h.recordRelease(rq)
+			h.queue.WakeFirst(time.Now(), pool)
+			h.controlledQueue.WakeFirst(time.Now(), pool)
 		})
 	}
 	// After a panic the placement is released through the request.
@@ -277,23 +289,14 @@
 	return b
 }
 
-// newRoutedWaiter returns the request's entry for the queue of waiting requests.
-func (h *Handler) newRoutedWaiter(rq *request) *waiter {
-	name, weight := rq.workspaceName(), 0.0
-	if w := rq.route.Workspace; w != nil {
-		weight = w.Weight
-	}
-	return &waiter{
-		QueuedRequest: limits.QueuedRequest{Priority: rq.priority(), Use: float64(h.runningByWorkspace.get(name)), Weight: weight, Since: time.Now()},
-		pool:          rq.poolName(), wake: make(chan struct{}, 1), refused: make(chan struct{}),
-	}
-}
-
 // waitDeadline returns the time until which the request may wait for a backend server. reason is why it has none now. Before
 // the first attempt the wait is at most waitSharePercent of the route's target time, so that a refused caller has time to
 // retry.
 func (rq *request) waitDeadline(began time.Time, reason problem.Reason) time.Time {
 	call := rq.routed
+	if call.controlled && reason == problem.Overloaded && !call.decision.Until.IsZero() {
+		return call.decision.Until
+	}
 	wait := time.Until(call.deadline) / 2
 	if reason == problem.NoBackendServer && call.failureAnswer != nil {
 		// There is a failure answer to deliver and no backend server left that could give a better one.
--- a/server/entry/routed_run.go
+++ b/server/entry/routed_run.go
@@ -182,6 +182,7 @@
 func (h *Handler) endRouted(ctx context.Context, w http.ResponseWriter, rq *request, p *problem.Problem) {
 	call := rq.routed
 	h.logRefusal(rq, p)
+	h.recordNotServed(rq, ctx.Err() != nil && context.Cause(ctx) == context.Canceled)
 	switch {
 	case call.answerStarted:
 		// Part of the answer was delivered. Only an aborted connection shows the caller that it is incomplete.
@@ -221,6 +222,7 @@
 	h.countRoutedAnswer(x, time.Since(x.began))
 	h.metrics.firstTokenSeconds.Observe(time.Since(x.rq.start).Seconds())
 	h.logAnswer(x, "answered")
+	h.recordFirstEvent(x.rq)
 	h.writeRoutedAnswer(w, x.rq, &answer{status: x.response.StatusCode, header: x.response.Header, body: body})
 	return nil
 }
--- a/server/entry/routed_stream.go
+++ b/server/entry/routed_stream.go
@@ -155,6 +155,7 @@
 		if !call.answerStarted {
 			call.answerStarted, call.contentType = true, x.response.Header.Get("Content-Type")
 			h.metrics.firstTokenSeconds.Observe(time.Since(x.rq.start).Seconds())
+			h.recordFirstEvent(x.rq)
 			copyHeader(w.Header(), x.response.Header)
 			disableSniffing(w.Header())
 			w.WriteHeader(http.StatusOK)
--- a/server/settings/fields.go
+++ b/server/settings/fields.go
@@ -104,8 +104,13 @@
 	{Section: "entry", Key: "sure_confidence", Default: "60", Allowed: "a number from 1 to 100",
 		Use: "confidence from which on the answer of a smaller model is delivered without asking a larger one",
 		set: intSetter(func(s *Settings) *int { return &s.SureConfidence }, 1, 100)},
+	{Section: "entry", Key: "overload_control", Default: "false", Allowed: "true or false",
+		Use: "true orders, holds back and rejects routed requests early when a pool has no capacity; false does so only for pools whose backend servers report how long work takes on their machines",
+		set: func(s *Settings, v string) bool { return parseInto(&s.OverloadControl, v, strconv.ParseBool) }},
 	{Section: "platform", Key: "adapter", Allowed: "the name of an adapter that is built in", Use: "adapter that translates the interfaces of a platform; empty: none",
 		set: textSetter(func(s *Settings) *string { return &s.Adapter }, isValidName)},
+	{Section: "platform", Key: "contracts", Allowed: "names separated by commas",
+		Use: "contracts of the platform that apply to this deployment; the adapter translates the names that it knows; empty: none", set: setContracts},
 	{Section: "platform", Key: "rating_url", Allowed: "an http or https URL", Use: "rating service; empty: none",
 		set: textSetter(func(s *Settings) *string { return &s.RatingURL }, isValidURL)},
 	{Section: "platform", Key: "weight_store_url", Allowed: "an http or https URL", Use: "weight store; empty: none",
@@ -214,6 +219,16 @@
 	return len(s.SeedHosts) <= maxReplicas
 }
 
+// setContracts accepts any names, as a new contract of the platform must not keep the process from starting.
+func setContracts(s *Settings, v string) bool {
+	for item := range strings.SplitSeq(v, ",") {
+		if name := strings.TrimSpace(item); name != "" {
+			s.Contracts = append(s.Contracts, name)
+		}
+	}
+	return true
+}
+
 func isValidName(v string) bool {
 	return v != "" && strings.IndexFunc(v, func(r rune) bool {
 		return (r < 'a' || r > 'z') && (r < 'A' || r > 'Z') && (r < '0' || r > '9') && r != '-' && r != '_'
--- a/server/settings/settings.go
+++ b/server/settings/settings.go
@@ -83,6 +83,10 @@
 	LogLinesPerSecond int
 	// Adapter is the name of the platform's adapter; empty if there is none.
 	Adapter string
+	// Contracts are the names of the platform's contracts that apply, which the adapter translates.
+	Contracts []string
+	// OverloadControl applies overload control to all routed requests.
+	OverloadControl bool
 	// RevocationLimit is the time within which a revoked key must stop working everywhere; 0 if only MaxViewAge limits it.
 	RevocationLimit time.Duration
 	// StopGrace is the time after SIGTERM after which the platform kills the process; 0 if it never does.
