admission: capacity is left to more urgent ranks, and load patterns are replayed

Cause: with overload control, ranks with longer target times still filled the engines before urgent ones, and an instance of a large fleet has a recent load report of few backend servers, so that none counted as full. Change: a less urgent request leaves half of the queue at a backend server to each more urgent rank; use and queue of a pool are running means over the reports of all its servers; a rank that gets under a third of the best-served one has a tenth of its requests ordered first; a request that waited for half its target time is not overtaken by new ones of its rank. TestLoadPatterns replays the six patterns of the specification without a network.

--- a/server/admission/decide.go
+++ b/server/admission/decide.go
@@ -28,20 +28,25 @@
 	Retry bool
 	// Attempted is true if an attempt was made. The request then waits until its deadline, as another backend server may have run it.
 	Attempted bool
+	// Favoured is true if the rank is starved and this is one of its requests that are ordered before more urgent ones for that.
+	Favoured bool
 	// Draw is a number of the request, 0 to 1, which decides whether it belongs to the share of its rank that is held back.
 	Draw float64
 }
 
 // Snapshot is the state of a pool at one moment, as seen by this entry instance.
 type Snapshot struct {
-	// Full reports whether the best backend server counts as full whatever the rank of the request.
+	// Full reports whether the best backend server counts as full, whatever the rank of the request.
 	Full bool
-	// Load is the number of requests on the best backend server divided by its slots. Unread reports whether requests wait there
-	// for their prompts to be read.
-	Load   float64
+	// Load is the number of requests on the best backend server divided by its slots, and LoadLimit is the load from which it counts
+	// as full. LoadKnown is false if this instance has no recent report of it.
+	Load, LoadLimit float64
+	LoadKnown       bool
+	// Unread reports whether requests wait at the best backend server for their prompts to be read.
 	Unread bool
-	// FirstEvent is the expected time from the dispatch to the first event on the best backend server, 0 if unknown.
-	FirstEvent time.Duration
+	// FirstEvent is the expected time from the dispatch to the first event on the best backend server, 0 if unknown. SoonestEvent is
+	// the shortest such time in the pool.
+	FirstEvent, SoonestEvent time.Duration
 	// UseKnown reports whether Use and Queued are known. Use is the share of the pool's slots that are in use, and Queued is true if
 	// requests wait at its backend servers.
 	UseKnown bool
@@ -84,7 +89,7 @@
 const (
 	// ReasonFree means that the pool has capacity for the request.
 	ReasonFree Reason = "free"
-	// ReasonIdle means that under half of the pool is in use.
+	// ReasonIdle means that the request would be rejected, but under half of the pool is in use.
 	ReasonIdle Reason = "idle"
 	// ReasonFull means that the request would wait at the best backend server.
 	ReasonFull Reason = "full"
@@ -124,15 +129,20 @@
 // Load patterns: a surge over the capacity of a pool, in which requests that can't be answered in time would take capacity from those
 // that can, and less urgent requests would be served more often than urgent ones; pools that lose servers or speed for a while.
 func Decide(now time.Time, r *Request, s *Snapshot) Decision {
-	if s.idle() && s.Ahead == 0 {
+	d := decide(now, r, s)
+	if d.Action == Reject && s.idle() {
 		return Decision{Action: Run, Reason: ReasonIdle}
 	}
+	return d
+}
+
+func decide(now time.Time, r *Request, s *Snapshot) Decision {
 	left, full := r.Deadline.Sub(now), s.fullFor(r)
 	start := expectedStart(s, full)
 	if !s.Outdated && !r.Attempted && expectedAnswer(r, s, start) > left {
 		return Decision{Action: Reject, Reason: ReasonLate, ExpectedStart: start}
 	}
-	held := s.UseKnown && !r.Attempted && r.Draw < HeldShare(r.Rank, r.Retry, &s.Late)
+	held := s.UseKnown && (s.contended() || s.Queued) && !r.Attempted && r.Draw < HeldShare(r.Rank, r.Retry, &s.Late)
 	d := Decision{Action: Wait, ExpectedStart: start}
 	switch {
 	case s.Ahead > 0:
@@ -156,15 +166,14 @@
 func (s *Snapshot) idle() bool { return s.UseKnown && s.Use < idleUse && !s.Queued }
 
 const (
-	// queuePerRank is the part of the queue at the best backend server that a request leaves to each more urgent rank of its pool. A
-	// queue that is as long as the target time of the most urgent rank allows is used by that rank only.
-	queuePerRank = 0.25
-	// maxQueueLeft leaves some of the queue to the least urgent ranks.
-	maxQueueLeft = 0.75
-	// slotsInUse is the load at which all slots are in use, and longestQueue is the largest load beyond it that a backend server
-	// takes (see balance.Candidate.Full).
-	slotsInUse   = 1
-	longestQueue = 0.5
+	// queuePerRank is the part of the queue at the best backend server that a request leaves to each more urgent rank of its pool. With
+	// two more urgent ranks, it starts only where a slot is free.
+	queuePerRank = 0.5
+	// maxTimeLeft is the largest part of the target time that is left to more urgent ranks likewise: each answer takes some time, also
+	// without a queue.
+	maxTimeLeft = 0.75
+	// slotsInUse is the load at which all slots are in use.
+	slotsInUse = 1
 )
 
 // fullFor reports whether the request would wait too long at the best backend server: in an engine whose queue exceeds the target
@@ -184,14 +193,16 @@
 			target = t
 		}
 	}
-	left := min(float64(moreUrgent)*queuePerRank, maxQueueLeft)
-	if moreUrgent > 0 && s.Load >= slotsInUse+longestQueue*(1-left) {
+	left := min(float64(moreUrgent)*queuePerRank, 1)
+	if moreUrgent > 0 && s.Load >= slotsInUse+max(s.LoadLimit-slotsInUse, 0)*(1-left) {
 		return true
 	}
-	queued := s.Load >= slotsInUse || s.Unread
-	return queued && target > 0 && s.FirstEvent > time.Duration(float64(target)*(1-left))
+	return s.contended() && target > 0 && s.FirstEvent > time.Duration(float64(target)*(1-min(left, maxTimeLeft)))
 }
 
+// contended reports whether requests wait at the best backend server, for a slot or for their prompts to be read.
+func (s *Snapshot) contended() bool { return s.Load >= slotsInUse || s.Unread }
+
 // expectedStart returns the expected time until the request can start, 0 if it can start now or the time is unknown.
 func expectedStart(s *Snapshot, full bool) time.Duration {
 	if s.ReleaseRate <= 0 || s.Ahead <= 0 && !full {
@@ -203,11 +214,11 @@
 // expectedAnswer returns the expected time until the first event. The queue of the best backend server gets shorter while the request
 // waits here, so of the time to the first event only as much is added to the wait as the target allows.
 func expectedAnswer(r *Request, s *Snapshot, start time.Duration) time.Duration {
-	afterWait := s.FirstEvent
+	afterWait := s.SoonestEvent
 	if r.Target > 0 {
 		afterWait = min(afterWait, r.Target)
 	}
-	return max(s.FirstEvent, start+afterWait)
+	return max(s.SoonestEvent, start+afterWait)
 }
 
 // waitEnd returns when a request that can't start is rejected. short is true if more urgent requests are displaced by it, or if nothing
@@ -260,6 +271,33 @@
 	return held
 }
 
+// starvedShare is the share of the requests in time of the best-served rank under which a rank is starved: no kind may be served less
+// than a quarter as often as all. The margin is for the delay until the difference shows.
+const starvedShare = 1.0 / 3
+
+// favouredShare is the share of the requests of a starved rank that are ordered before more urgent ones. Together with what the rank is
+// served anyway, a tenth was enough in the replays; a quarter took capacity from the urgent ranks without need.
+const favouredShare = 0.1
+
+// isFavoured reports whether a request is ordered before more urgent ones because its rank is starved.
+func isFavoured(draw float64, rank int, s *Snapshot) bool {
+	best := 0.0
+	for i, late := range s.Late {
+		if s.Targets[i] > 0 {
+			best = max(best, 1-finite(late))
+		}
+	}
+	return draw >= 1-favouredShare && 1-finite(s.Late[rank]) < starvedShare*best
+}
+
+// urgency returns the rank that counts for the order.
+func (r *Request) urgency() int {
+	if r.Favoured {
+		return 0
+	}
+	return clampRank(r.Rank)
+}
+
 func clampRank(rank int) int { return min(max(rank, 0), MaxRank) }
 
 // finite returns v, or 0 if v is not a number or infinite.
@@ -291,7 +329,7 @@
 	left := max(r.Deadline.Sub(now), 0)
 	expected := expectedStart(s, s.fullFor(r))
 	if r.Target > 0 {
-		expected = max(expected, s.FirstEvent-r.Target)
+		expected = max(expected, s.SoonestEvent-r.Target)
 	}
 	if expected <= 0 {
 		// Nothing is known of the pool: the retries are spread over the time that callers honour.
--- a/server/admission/order.go
+++ b/server/admission/order.go
@@ -21,7 +21,7 @@
 
 // effectiveRank returns the rank, one less for a retry after a rejection that has waited for half of its time.
 func effectiveRank(now time.Time, r *Request) int {
-	rank := clampRank(r.Rank)
+	rank := r.urgency()
 	if r.Retry && waitedShare(now, r) >= 0.5 {
 		return max(rank-1, 0)
 	}
@@ -49,7 +49,8 @@
 }
 
 // costAgainstUrgency returns a number that grows with the cost of a request relative to the mean and falls with the time that it has
-// waited. The cost counts less than one target time, so a request that has waited for that long comes before any new one.
+// waited. The cost counts less than half a target time, so a request that has waited for that long comes before any new one. A request that
+// may wait for 60% of its target time thus gets its turn.
 func costAgainstUrgency(now time.Time, r *Request) float64 {
 	cost, mean := max(finite(r.Cost), 0), max(finite(r.MeanCost), 0)
 	relative := 0.5
@@ -57,7 +58,7 @@
 		// Halves keep the sum finite.
 		relative = (cost / 2) / (cost/2 + mean/2)
 	}
-	unit := r.Target
+	unit := r.Target / 2
 	if unit <= 0 {
 		unit = max(r.Deadline.Sub(r.Arrived)*longWaitPercent/100, time.Millisecond)
 	}
--- a/server/admission/pools.go
+++ b/server/admission/pools.go
@@ -16,6 +16,14 @@
 	outcomeWeight = 1.0 / 32
 	// minOutcomes is the number of requests from which the share of late requests counts.
 	minOutcomes = 8
+	// reportWeight is the least weight of one load report in the running means, and minReports the number from which they count.
+	reportWeight = 1.0 / 16
+	minReports   = 8
+	// queuedWaiting is the mean number of waiting requests at a backend server from which the pool counts as queued. Single requests
+	// that wait for a moment are usual at a moderate load.
+	queuedWaiting = 0.5
+	// maxReported is the largest figure of a load report that is believed.
+	maxReported = 1_000_000
 	// costWeight is the weight of one request in the running mean of the cost.
 	costWeight = 1.0 / 32
 	// memoryTargets is the number of target times over which learned values are kept. It holds several generations of requests, and an
@@ -23,6 +31,8 @@
 	memoryTargets = 4
 	// minMemory is the shortest such time, for pools with target times of some milliseconds.
 	minMemory = time.Second
+	// maxMemory bounds that time, for routes with target times of minutes.
+	maxMemory = time.Minute
 	// signalTargets is the number of target times for which the pool's state that one request saw holds for others that wait.
 	signalTargets = 0.25
 )
@@ -46,12 +56,22 @@
 	releasedAt           time.Time
 	busySince, busyUntil time.Time
 	ranks                [MaxRank + 1]rankState
+	reports              reportMeans
 	signal               Snapshot
 	signalAt             time.Time
 	// reportedWork is when a backend server last reported how long work takes on its machine.
 	reportedWork time.Time
 }
 
+// reportMeans holds running means over the load reports of the pool's backend servers, whichever sent them. In a large fleet an instance has
+// a recent report of a few servers only, but the mean of the last reports is known.
+type reportMeans struct {
+	// use is the share of the slots in use, waiting the number of waiting requests, and load the number of requests divided by the slots.
+	use, waiting, load float64
+	count              int
+	at                 time.Time
+}
+
 type rankState struct {
 	late     float64
 	count    int
@@ -147,6 +167,12 @@
 }
 
 func (s *pool) addLearned(now time.Time, out *Snapshot) {
+	if m := &s.reports; m.count >= minReports && now.Sub(m.at) <= s.memory {
+		out.UseKnown, out.Use, out.Queued = true, m.use, m.waiting >= queuedWaiting
+		if !out.LoadKnown {
+			out.Load = max(out.Load, m.load)
+		}
+	}
 	out.ReleaseRate = s.releaseRate(now)
 	for i := range s.ranks {
 		r := &s.ranks[i]
@@ -180,19 +206,24 @@
 	return math.Exp(-float64(max(age, 0)) / float64(memory))
 }
 
-// RecordRequest records the cost and the target time of a request that asks for a place, and returns the mean cost of its rank.
-func (p *Pools) RecordRequest(now time.Time, name string, rank int, cost float64, target time.Duration) (meanCost float64) {
+// RecordRequest records the cost and the target time of a new request, and sets those of its properties that the instance has learned.
+func (p *Pools) RecordRequest(now time.Time, name string, request *Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.get(name, now)
-	s.memory = max(s.memory, min(memoryTargets*target, time.Minute))
-	r := &s.ranks[clampRank(rank)]
-	r.target, r.seen = target, now
-	if cost = max(finite(cost), 0); r.meanCost == 0 {
+	s.memory = max(s.memory, min(memoryTargets*request.Target, maxMemory))
+	rank := clampRank(request.Rank)
+	r := &s.ranks[rank]
+	r.target, r.seen = request.Target, now
+	cost := max(finite(request.Cost), 0)
+	if r.meanCost == 0 {
 		r.meanCost = cost
 	}
 	r.meanCost += costWeight * (cost - r.meanCost)
-	return r.meanCost
+	request.MeanCost = r.meanCost
+	learned := Snapshot{}
+	s.addLearned(now, &learned)
+	request.Favoured = isFavoured(request.Draw, rank, &learned)
 }
 
 // RecordRelease records that a placement ended.
@@ -204,6 +235,26 @@
 	s.releasedAt = now
 }
 
+// RecordLoad records a load report of one of the pool's backend servers. Absurd figures count as absent.
+func (p *Pools) RecordLoad(now time.Time, name string, running, waiting, slots int) {
+	if running < 0 || waiting < 0 || slots <= 0 || running > maxReported || waiting > maxReported || slots > maxReported {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.get(name, now)
+	m := &s.reports
+	if now.Sub(m.at) > s.memory {
+		*m = reportMeans{}
+	}
+	m.count++
+	m.at = now
+	weight := max(reportWeight, 1/float64(m.count))
+	m.use += weight * (min(float64(running)/float64(slots), 1) - m.use)
+	m.waiting += weight * (float64(waiting) - m.waiting)
+	m.load += weight * (float64(running+waiting)/float64(slots) - m.load)
+}
+
 // RecordOutcome records whether a request got its first event within its target time.
 func (p *Pools) RecordOutcome(now time.Time, name string, rank int, late bool) {
 	p.mu.Lock()
--- a/server/admission/queue.go
+++ b/server/admission/queue.go
@@ -116,7 +116,7 @@
 		c := q.order(now, other, w)
 		if c < 0 || c == 0 && position > i {
 			ahead++
-			moreUrgent = moreUrgent || other.Request != nil && w.Request != nil && other.Request.Rank < w.Request.Rank
+			moreUrgent = moreUrgent || other.Request != nil && w.Request != nil && other.Request.urgency() < w.Request.urgency()
 		}
 	}
 	return ahead, moreUrgent
--- /dev/null
+++ b/server/admission/replay_test.go
@@ -0,0 +1,555 @@
+package admission
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"clementinetray/server/limits"
+)
+
+// A replay plays arrivals at a pool in steps of virtual time, once with overload control off and once on. Each instance sees the load of the
+// servers late. A server runs one request in each slot and the rest in order of arrival. A request has its first event after a fifth of
+// its service time. Clients retry a rejection up to three times and leave at their deadline.
+type replay struct {
+	on  bool
+	now time.Time
+	// arrivals draws the arrivals, which are the same with overload control off and on; rng draws everything else.
+	arrivals, rng *rand.Rand
+	kinds         []kind
+	instances     []*instance
+	servers       []*server
+	use           [workspaces]float64 // engine time of each workspace, decaying
+	results       []result
+	open          []*call
+	// othersInTime counts the requests in time of all workspaces but the first.
+	othersInTime int
+}
+
+type kind struct {
+	name          string
+	rank          int
+	target, limit time.Duration
+	service       time.Duration // mean
+	share         float64       // of the arrivals
+	worth         float64
+}
+
+type result struct {
+	arrived, inTime, answered, rejected, expired int
+	// largest counts the requests of the largest tenth of the kind.
+	largest, largestAnswered int
+}
+
+type instance struct {
+	pools   *Pools
+	queue   *Queue
+	seen    []float64 // load of each server at the last refresh, and the requests sent since
+	running map[int]int
+	down    bool
+}
+
+type server struct {
+	slots          int
+	speed          float64
+	running, queue []*call
+}
+
+type call struct {
+	kind, workspace   int
+	service, done     time.Duration
+	first             time.Time // arrival of the first attempt
+	since             time.Time // arrival of this attempt
+	deadline, retryAt time.Time
+	instance          *instance
+	waiter            *Waiter
+	request           *Request
+	waitEnd           time.Time
+	server            *server
+	tries             int
+	retry, answered   bool
+	ended             bool
+}
+
+const (
+	step         = 10 * time.Millisecond
+	refresh      = 250 * time.Millisecond
+	poolName     = "pool"
+	firstEventAt = 0.2
+)
+
+// generations are like the kinds of requests of the users' sites, with worth in units of a short generation.
+func generations() []kind {
+	return []kind{
+		{name: "long", rank: 0, target: 2200 * time.Millisecond, limit: 17 * time.Second, service: 4 * time.Second, share: 0.2, worth: 6.8},
+		{name: "short", rank: 1, target: 2500 * time.Millisecond, limit: 13 * time.Second, service: 1500 * time.Millisecond, share: 0.35, worth: 1},
+		{name: "tag", rank: 2, target: 3500 * time.Millisecond, limit: 4 * time.Second, service: 600 * time.Millisecond, share: 0.45, worth: 0.1},
+	}
+}
+
+// pattern is a load pattern: what happens at a time since the start.
+type pattern struct {
+	// load returns the arrivals in units of the capacity of all servers.
+	load func(t time.Duration) float64
+	// workspace returns the workspace of an arrival.
+	workspace func(t time.Duration, rng *rand.Rand) int
+	// oneLarge is true if the first workspace sends more than its share.
+	oneLarge bool
+	// change changes servers and instances.
+	change func(t time.Duration, r *replay)
+	// impatient is the share of the clients that send each rejected request three times at once.
+	impatient float64
+}
+
+const (
+	replayTime = 60 * time.Second
+	slots      = 8
+)
+
+func play(seed uint64, on bool, p pattern) *replay {
+	r := &replay{on: on, now: time.Unix(1_000_000, 0), arrivals: rand.New(rand.NewPCG(seed, 1)), rng: rand.New(rand.NewPCG(seed, 2)), kinds: generations()}
+	r.results = make([]result, len(r.kinds))
+	for range 6 {
+		r.servers = append(r.servers, &server{slots: slots, speed: 1})
+	}
+	for range 8 {
+		r.instances = append(r.instances, newInstance(len(r.servers), on))
+	}
+	meanService := 0.0
+	for _, k := range r.kinds {
+		meanService += k.share * k.service.Seconds()
+	}
+	capacity := float64(len(r.servers)*slots) / meanService
+	begin, due := r.now, 0.0
+	for t := time.Duration(0); t < replayTime; t += step {
+		r.now = begin.Add(t)
+		if p.change != nil {
+			p.change(t, r)
+		}
+		for due += p.load(t) * capacity * step.Seconds(); due >= 1; due-- {
+			r.arrive(p.workspace(t, r.arrivals))
+		}
+		if t%refresh == 0 {
+			r.refresh()
+		}
+		r.runServers()
+		for _, c := range slices.Clone(r.open) {
+			r.advance(c, p.impatient)
+		}
+		r.open = slices.DeleteFunc(r.open, func(c *call) bool { return c.ended })
+	}
+	return r
+}
+
+func newInstance(servers int, on bool) *instance {
+	order := ByPriority
+	if on {
+		order = ByRequest
+	}
+	return &instance{pools: NewPools(), queue: NewQueue(256, order, func(int) {}), seen: make([]float64, servers), running: map[int]int{}}
+}
+
+func (r *replay) arrive(workspace int) {
+	index, draw := 0, r.arrivals.Float64()
+	for draw > r.kinds[index].share && index < len(r.kinds)-1 {
+		draw -= r.kinds[index].share
+		index++
+	}
+	k := &r.kinds[index]
+	c := &call{kind: index, workspace: workspace, first: r.now, deadline: r.now.Add(k.limit), service: time.Duration((0.25 + r.arrivals.ExpFloat64()*0.75) * float64(k.service))}
+	r.results[index].arrived++
+	if r.isLarge(c) {
+		r.results[index].largest++
+	}
+	r.begin(c)
+	r.open = append(r.open, c)
+}
+
+// isLarge reports whether a request is in the largest tenth of its kind.
+func (r *replay) isLarge(c *call) bool {
+	return float64(c.service) > 1.98*float64(r.kinds[c.kind].service)
+}
+
+// begin sends the request to an instance that is up.
+func (r *replay) begin(c *call) {
+	c.instance = r.instances[r.rng.IntN(len(r.instances))]
+	for c.instance.down {
+		c.instance = r.instances[r.rng.IntN(len(r.instances))]
+	}
+	k := &r.kinds[c.kind]
+	c.since, c.retryAt = r.now, time.Time{}
+	c.request = &Request{
+		Rank: k.rank, Standing: r.standing(c.workspace), Cost: c.service.Seconds(), Arrived: r.now, WaitingSince: r.now, Target: k.target,
+		Deadline: c.deadline, Retry: c.retry, Draw: r.rng.Float64(),
+	}
+	c.instance.pools.RecordRequest(r.now, poolName, c.request)
+	c.waiter = nil
+	c.waitEnd = r.now.Add(min(k.target*60/100, c.deadline.Sub(r.now)/2))
+}
+
+const workspaces = 10
+
+// standing returns the use of the workspace divided by its fair share.
+func (r *replay) standing(workspace int) float64 {
+	total := 0.0
+	for _, u := range r.use {
+		total += u
+	}
+	if total == 0 {
+		return 1
+	}
+	return r.use[workspace] / total * workspaces
+}
+
+func (r *replay) refresh() {
+	for _, in := range r.instances {
+		for i, s := range r.servers {
+			in.seen[i] = s.load()
+		}
+	}
+	for w := range r.use {
+		r.use[w] *= 0.9
+	}
+}
+
+func (s *server) load() float64 {
+	if s.slots == 0 {
+		return 1000
+	}
+	return float64(len(s.running)+len(s.queue)) / float64(s.slots)
+}
+
+// runServers advances the requests in the slots and starts those that follow.
+func (r *replay) runServers() {
+	for _, s := range r.servers {
+		gone := func(c *call) bool { return c.ended }
+		s.queue = slices.DeleteFunc(s.queue, gone)
+		s.running = slices.DeleteFunc(s.running, gone)
+		for _, c := range s.running {
+			c.done += time.Duration(s.speed * float64(step))
+			r.use[c.workspace] += step.Seconds()
+		}
+		for len(s.running) < s.slots && len(s.queue) > 0 {
+			s.running = append(s.running, s.queue[0])
+			s.queue = s.queue[1:]
+		}
+	}
+}
+
+// advance moves one request on: first event, end, deadline, retry, or another try to start.
+func (r *replay) advance(c *call, impatient float64) {
+	k, res := &r.kinds[c.kind], &r.results[c.kind]
+	switch {
+	case c.server != nil && !c.answered && float64(c.done) >= firstEventAt*float64(c.service):
+		c.answered = true
+		res.answered++
+		if r.isLarge(c) {
+			res.largestAnswered++
+		}
+		if r.now.Sub(c.first) <= k.target {
+			res.inTime++
+			if c.workspace != 0 {
+				r.othersInTime++
+			}
+		}
+		c.instance.pools.RecordOutcome(r.now, poolName, k.rank, r.now.Sub(c.since) > k.target)
+	case c.server != nil && c.done >= c.service:
+		r.end(c)
+	case !r.now.Before(c.deadline):
+		if !c.answered {
+			res.expired++
+			c.instance.pools.RecordOutcome(r.now, poolName, k.rank, true)
+		}
+		r.end(c)
+	case c.server != nil || r.now.Before(c.retryAt):
+	case !c.retryAt.IsZero():
+		r.begin(c)
+		fallthrough
+	default:
+		if reject, after := r.try(c); reject {
+			r.reject(c, after, impatient)
+		}
+	}
+}
+
+func (r *replay) end(c *call) {
+	c.ended = true
+	if c.waiter != nil {
+		c.instance.queue.Remove(r.now, c.waiter)
+		c.waiter = nil
+	}
+	if c.server != nil {
+		c.instance.running[c.workspace]--
+		c.instance.pools.RecordRelease(r.now, poolName)
+	}
+}
+
+// reject makes the client retry after the time that it is told, at most a third of the time left, or give up.
+func (r *replay) reject(c *call, after time.Duration, impatient float64) {
+	if c.waiter != nil {
+		c.instance.queue.Remove(r.now, c.waiter)
+		c.waiter = nil
+	}
+	c.instance.pools.RecordOutcome(r.now, poolName, r.kinds[c.kind].rank, true)
+	c.tries++
+	if c.tries > 3 {
+		r.results[c.kind].rejected++
+		c.ended = true
+		return
+	}
+	c.retry = r.rng.Float64() < 1/float64(len(r.instances))
+	c.retryAt = r.now.Add(min(after, c.deadline.Sub(r.now)/3))
+	if r.rng.Float64() < impatient {
+		c.retryAt = r.now.Add(step)
+	}
+}
+
+// try decides about a request that has no server, and starts it if it may run.
+func (r *replay) try(c *call) (rejected bool, retryAfter time.Duration) {
+	in, k := c.instance, &r.kinds[c.kind]
+	waiter := c.waiter
+	fresh := func() *Waiter {
+		return NewWaiter(poolName, limits.QueuedRequest{Priority: -k.rank, Use: float64(in.running[c.workspace]), Since: r.now}, c.request)
+	}
+	ahead, moreUrgent := in.queue.Ahead(r.now, waiter, fresh)
+	best := 0
+	for i, load := range in.seen {
+		if load < in.seen[best] {
+			best = i
+		}
+	}
+	if !r.on {
+		if ahead == 0 && in.seen[best] < 1.5 {
+			r.start(c, best)
+			return false, 0
+		}
+		if !r.now.Before(c.waitEnd) {
+			return true, time.Second
+		}
+		if waiter == nil {
+			c.waiter = fresh()
+			in.queue.Enqueue(r.now, c.waiter)
+		}
+		return false, 0
+	}
+	s := r.snapshot(in, best, c)
+	raw := s
+	s = in.pools.Snapshot(r.now, poolName, s)
+	s.Ahead, s.MoreUrgentAhead = ahead, moreUrgent
+	d := Decide(r.now, c.request, &s)
+	if ahead == 0 {
+		in.pools.Observe(r.now, poolName, raw, d.Action != Run, true)
+	}
+	switch d.Action {
+	case Run:
+		r.start(c, best)
+	case Reject:
+		return true, RetryAfter(r.now, c.request, &s, r.rng.Float64())
+	case Wait:
+		if waiter == nil {
+			c.waiter = fresh()
+			in.queue.Enqueue(r.now, c.waiter)
+		}
+		in.queue.Update(c.waiter, poolName, c.request, d.Held)
+	}
+	return false, 0
+}
+
+func (r *replay) start(c *call, best int) {
+	if c.waiter != nil {
+		c.instance.queue.Remove(r.now, c.waiter)
+		c.waiter = nil
+	}
+	c.server = r.servers[best]
+	c.server.queue = append(c.server.queue, c)
+	c.instance.seen[best] += 1 / float64(max(c.server.slots, 1))
+	c.instance.running[c.workspace]++
+}
+
+// snapshot returns the state of the pool as the instance sees it.
+func (r *replay) snapshot(in *instance, best int, c *call) Snapshot {
+	use, queued := 0.0, 0.0
+	for _, load := range in.seen {
+		use += min(load, 1) / float64(len(in.seen))
+		queued += max(load-1, 0) * slots
+	}
+	meanService := 1.6
+	wait := max(in.seen[best]-1, 0) * meanService
+	first := time.Duration((wait + firstEventAt*c.service.Seconds()) * float64(time.Second))
+	return Snapshot{
+		Full: in.seen[best] >= 1.5, Load: in.seen[best], LoadLimit: 1.5, LoadKnown: true, UseKnown: true, Use: use, Queued: queued >= queuedWaiting*float64(len(in.seen)),
+		FirstEvent: first, SoonestEvent: first,
+	}
+}
+
+func (r *replay) worth() (sum float64) {
+	for i, k := range r.kinds {
+		sum += k.worth * (float64(r.results[i].inTime) + 0.5*float64(r.results[i].answered-r.results[i].inTime))
+	}
+	return sum
+}
+
+func (r *replay) report() string {
+	out := fmt.Sprintf("worth %.0f", r.worth())
+	for i, k := range r.kinds {
+		x := &r.results[i]
+		out += fmt.Sprintf("; %s: %d, in time %.2f, answered %.2f, rejected %d, expired %d", k.name, x.arrived, x.inTimeShare(), x.answeredShare(), x.rejected, x.expired)
+	}
+	return out
+}
+
+func (x *result) inTimeShare() float64 { return float64(x.inTime) / float64(max(x.arrived, 1)) }
+
+func (x *result) answeredShare() float64 { return float64(x.answered) / float64(max(x.arrived, 1)) }
+
+// gap returns by how much a kind is served in time less often than a less urgent one, at most.
+func (r *replay) gap() (worst float64) {
+	for i := range r.results {
+		for j := i + 1; j < len(r.results); j++ {
+			worst = max(worst, r.results[j].inTimeShare()-r.results[i].inTimeShare())
+		}
+	}
+	return worst
+}
+
+func (r *replay) expired() (sum int) {
+	for _, x := range r.results {
+		sum += x.expired
+	}
+	return sum
+}
+
+// resend makes the clients of the matching requests send them again, as their connections were lost.
+func (r *replay) resend(lost func(*call) bool) {
+	for _, c := range r.open {
+		if c.ended || c.answered || !c.retryAt.IsZero() || !lost(c) {
+			continue
+		}
+		if c.waiter != nil {
+			c.instance.queue.Remove(r.now, c.waiter)
+		}
+		if c.server != nil {
+			c.instance.running[c.workspace]--
+			c.server.queue = slices.DeleteFunc(c.server.queue, func(o *call) bool { return o == c })
+			c.server.running = slices.DeleteFunc(c.server.running, func(o *call) bool { return o == c })
+			c.server, c.done = nil, 0
+		}
+		r.begin(c)
+	}
+}
+
+func anyWorkspace(_ time.Duration, rng *rand.Rand) int { return rng.IntN(workspaces) }
+
+func steady(load float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return load }
+}
+
+// loadPatterns returns the patterns of the specification, by name. They begin after 20 s of usual load where they are a change.
+func loadPatterns() map[string]pattern {
+	const begin, end = 20 * time.Second, 40 * time.Second
+	return map[string]pattern{
+		"surge at 1.3 times the capacity": {load: steady(1.3), workspace: anyWorkspace},
+		"one workspace at 7.5 times its usual traffic": {oneLarge: true, load: func(t time.Duration) float64 {
+			if t < begin {
+				return 0.8
+			}
+			return 0.8 * (9 + 7.5) / 10
+		}, workspace: func(t time.Duration, rng *rand.Rand) int {
+			if t >= begin && rng.Float64() < 6.5/16.5 {
+				return 0
+			}
+			return rng.IntN(workspaces)
+		}},
+		"two of three zones lost": {load: steady(0.7), workspace: anyWorkspace, change: func(t time.Duration, r *replay) {
+			for _, s := range r.servers[:4] {
+				switch t {
+				case begin:
+					s.slots = 0
+					r.resend(func(c *call) bool { return c.server == s })
+				case end:
+					s.slots = slots
+				}
+			}
+		}},
+		"30% of clients that retry three times at once": {load: steady(1.2), workspace: anyWorkspace, impatient: 0.3},
+		"half of the instances restarted": {load: steady(1.1), workspace: anyWorkspace, change: func(t time.Duration, r *replay) {
+			for i := range r.instances[:4] {
+				switch t {
+				case begin:
+					lost := r.instances[i]
+					r.instances[i] = newInstance(len(r.servers), r.on)
+					r.instances[i].down = true
+					r.resend(func(c *call) bool { return c.instance == lost })
+				case begin + 2*time.Second:
+					r.instances[i].down = false
+				}
+			}
+		}},
+		"servers at 0.4 of their speed for 600 ms in turn": {load: steady(0.9), workspace: anyWorkspace, change: func(t time.Duration, r *replay) {
+			slow := int(t/(600*time.Millisecond)) % 3
+			for i, s := range r.servers {
+				s.speed = 1
+				if i%3 == slow {
+					s.speed = 0.4
+				}
+			}
+		}},
+	}
+}
+
+// Guards against overload control that serves callers worse than none in one of the load patterns, or that starves a kind of request, large
+// requests or the other workspaces.
+func TestLoadPatterns(t *testing.T) {
+	for name, p := range loadPatterns() {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(3) {
+				off, on := play(seed, false, p), play(seed, true, p)
+				t.Log("off:", off.report())
+				t.Log("on: ", on.report())
+				if on.worth() <= off.worth() {
+					t.Errorf("seed %d: a worth of %.0f with overload control, %.0f without", seed, on.worth(), off.worth())
+				}
+				if on.expired() > off.expired()/2 {
+					t.Errorf("seed %d: %d requests end at their caller's deadline with overload control, %d without", seed, on.expired(), off.expired())
+				}
+				if on.gap() > max(lateTolerance, 0.75*off.gap()) {
+					t.Errorf("seed %d: a kind is served less often than a less urgent one by %.2f with overload control, %.2f without", seed, on.gap(), off.gap())
+				}
+				if p.oneLarge && on.othersInTime <= off.othersInTime {
+					t.Errorf("seed %d: %d requests of the other workspaces in time with overload control, %d without", seed, on.othersInTime, off.othersInTime)
+				}
+				checkNothingStarves(t, on)
+			}
+		})
+	}
+}
+
+func checkNothingStarves(t *testing.T, r *replay) {
+	t.Helper()
+	arrived, answered := 0, 0
+	for _, x := range r.results {
+		arrived, answered = arrived+x.arrived, answered+x.answered
+	}
+	for i, x := range r.results {
+		if x.answeredShare() < float64(answered)/float64(arrived)/4 {
+			t.Errorf("%s is answered at %.2f, under a quarter of all", r.kinds[i].name, x.answeredShare())
+		}
+		if largest := float64(x.largestAnswered) / float64(max(x.largest, 1)); largest < x.answeredShare()/2 {
+			t.Errorf("the largest %s requests are answered at %.2f, all at %.2f", r.kinds[i].name, largest, x.answeredShare())
+		}
+	}
+}
+
+// Guards against overload control that delays or rejects requests while there is capacity for all.
+func TestUsualLoadIsServedAsWithoutControl(t *testing.T) {
+	for _, load := range []float64{0.3, 0.6, 0.8} {
+		off, on := play(1, false, pattern{load: steady(load), workspace: anyWorkspace}), play(1, true, pattern{load: steady(load), workspace: anyWorkspace})
+		for i := range on.results {
+			if x := on.results[i]; x.rejected+x.expired > 0 || x.inTimeShare() < off.results[i].inTimeShare()-0.01 {
+				t.Errorf("load %.1f, %s: off %+v, on %+v", load, on.kinds[i].name, off.results[i], x)
+			}
+		}
+	}
+}
--- a/server/entry/admission.go
+++ b/server/entry/admission.go
@@ -33,7 +33,7 @@
 			Rank: rq.rank(), Arrived: rq.start, WaitingSince: now, Target: call.route.TargetTime(), Deadline: call.deadline,
 			Cost: expectedCost(call), Retry: h.pools.WasRejected(now, rq.id), Draw: routing.StableFraction(rq.id, "admission"),
 		}
-		r.MeanCost = h.pools.RecordRequest(now, pool, r.Rank, r.Cost, r.Target)
+		h.pools.RecordRequest(now, pool, r)
 		call.admission = r
 	}
 	if attempted := rq.countedAttempts > 0 || call.answerStarted; attempted != r.Attempted {
@@ -76,7 +76,7 @@
 
 // decideAt records the state of the pool and decides about a request for which a backend server is chosen. It returns nil if the
 // request runs now or is not subject to overload control.
-func (h *Handler) decideAt(rq *request, snap *routing.Snapshot, candidates []balance.Candidate, rows []balance.Row, best int, full bool, r *balance.Request) *problem.Problem {
+func (h *Handler) decideAt(rq *request, snap *routing.Snapshot, candidates []balance.Candidate, rows []balance.Row, best int, r *balance.Request) *problem.Problem {
 	reported := false
 	for i := range candidates {
 		if candidates[i].WorkPercent > 0 {
@@ -90,7 +90,7 @@
 		}
 		return nil
 	}
-	state := poolState(candidates, rows, best, full, r)
+	state := poolState(candidates, rows, best, r, rq.routed.route.TargetTime()*waitSharePercent/100)
 	state.Outdated = h.isFleetOutdated(snap)
 	learned := h.pools.Snapshot(snap.Now, rq.servicePool(), state)
 	p := h.decide(rq, snap.Now, &learned)
@@ -98,31 +98,46 @@
 	return p
 }
 
-// poolState returns the state of a pool as the candidates show it.
-func poolState(candidates []balance.Candidate, rows []balance.Row, best int, full bool, r *balance.Request) admission.Snapshot {
+// Loads from which backend servers count as full, see balance.Candidate.Full: the larger one applies to plain services that answer quickly.
+const (
+	loadLimit      = 1.5
+	loadLimitQuick = 3
+)
+
+// poolState returns the state of a pool as the candidates show it. wait is the time that a request may wait here.
+func poolState(candidates []balance.Candidate, rows []balance.Row, best int, r *balance.Request, wait time.Duration) admission.Snapshot {
 	c := &candidates[best]
 	s := admission.Snapshot{
-		Full: full, Load: c.Load, FirstEvent: c.FirstEvent,
+		Full: c.Full(r, wait), Load: c.Load, LoadLimit: loadLimit, LoadKnown: c.LoadKnown, FirstEvent: c.FirstEvent, SoonestEvent: c.FirstEvent,
 		Unread: c.QueuedTokens > float64(r.PromptTokens-c.CachedTokens)*r.TimeRatio,
 	}
-	used, slots, queued := 0.0, 0.0, 0.0
+	if atLimit := *c; !s.Full {
+		if atLimit.Load = loadLimit; !atLimit.Full(r, wait) {
+			s.LoadLimit = loadLimitQuick
+		}
+	}
+	used, slots, queued, known := 0.0, 0.0, 0.0, 0.0
 	for i := range candidates {
 		o, n := &candidates[i], float64(max(rows[i].Slots, 1))
-		if o.FirstEvent > 0 && o.Penalty == 0 && (!o.Cold || o.ColdReady) && (s.FirstEvent <= 0 || o.FirstEvent < s.FirstEvent) {
-			s.FirstEvent = o.FirstEvent
+		if o.FirstEvent > 0 && o.Penalty == 0 && (!o.Cold || o.ColdReady) && (s.SoonestEvent <= 0 || o.FirstEvent < s.SoonestEvent) {
+			s.SoonestEvent = o.FirstEvent
 		}
 		if o.LoadKnown {
 			used += min(o.Load, 1) * n
 			queued += max(o.Load-1, 0) * n
 			slots += n
+			known++
 		}
 	}
 	if slots > 0 {
-		s.UseKnown, s.Use, s.Queued = true, used/slots, queued >= 1
+		s.UseKnown, s.Use, s.Queued = true, used/slots, queued/known >= queuedPerServer
 	}
 	return s
 }
 
+// queuedPerServer is the mean number of waiting requests at a backend server from which a pool counts as queued.
+const queuedPerServer = 0.5
+
 // decide decides about a controlled request and returns nil if it runs now.
 func (h *Handler) decide(rq *request, now time.Time, s *admission.Snapshot) *problem.Problem {
 	call := rq.routed
@@ -158,6 +173,13 @@
 	}
 }
 
+// recordLoad records a load report for overload control.
+func (h *Handler) recordLoad(rq *request, report balance.LoadReport) {
+	if rq.routed.controlled {
+		h.pools.RecordLoad(time.Now(), rq.servicePool(), report.Running, report.Waiting, report.Slots)
+	}
+}
+
 // recordFirstEvent records that the caller got the first event of a controlled request now.
 func (h *Handler) recordFirstEvent(rq *request) {
 	target := rq.routed.route.TargetTime()
--- a/server/entry/routed_place.go
+++ b/server/entry/routed_place.go
@@ -61,12 +61,10 @@
 	}
 	server := servers[best]
 	h.bindVersion(rq, server, snap.Now)
-	c := &candidates[best]
-	full := c.Full(balanceReq, call.route.TargetTime()*waitSharePercent/100)
-	if p := h.decideAt(rq, snap, candidates, rows, best, full, balanceReq); p != nil {
+	if p := h.decideAt(rq, snap, candidates, rows, best, balanceReq); p != nil {
 		return nil, p
 	}
-	if full && !call.controlled {
+	if c := &candidates[best]; !call.controlled && c.Full(balanceReq, call.route.TargetTime()*waitSharePercent/100) {
 		return nil, problem.New(problem.Overloaded, fmt.Sprintf("each backend server of %s is full, the best one has a load of %.2f and answers in %v",
 			call.service, c.Load, c.Latency)).WithRetryAfter(time.Second)
 	}
--- a/server/entry/routed_run.go
+++ b/server/entry/routed_run.go
@@ -58,6 +58,7 @@
 	h.balance.RecordLatency(time.Now(), x.server.ID, time.Since(x.began))
 	if x.answerMetadata.LoadKnown {
 		h.balance.RecordLoad(x.server.ID, x.answerMetadata.Load)
+		h.recordLoad(rq, x.answerMetadata.Load)
 	}
 	if f := x.checkRoutedAnswer(); f != nil {
 		return f
