--- /dev/null
+++ b/server/entry/admission_internal_test.go
@@ -0,0 +1,30 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"clementinetray/server/balance"
+)
+
+// Guards against a pool that counts as full or idle because of servers of which this instance knows nothing, and against lateness that is
+// decided by another server than the quickest.
+func TestPoolState(t *testing.T) {
+	rows := []balance.Row{{Slots: 10}, {Slots: 10}, {Slots: 10}}
+	request := &balance.Request{PromptTokens: 1000, TimeRatio: 1}
+	candidates := []balance.Candidate{
+		{Load: 1.6, LoadKnown: true, FirstEvent: 3 * time.Second, QueuedTokens: 2000},
+		{Load: 0.4, LoadKnown: true, FirstEvent: time.Second},
+		{Load: 0},
+	}
+	s := poolState(candidates, rows, 0, request, time.Second)
+	if !s.Full || !s.Unread || s.FirstEvent != 3*time.Second || s.SoonestEvent != time.Second {
+		t.Errorf("%+v", s)
+	}
+	if !s.UseKnown || s.Use < 0.69 || s.Use > 0.71 || !s.Queued {
+		t.Errorf("%+v", s)
+	}
+	if s := poolState(candidates[2:], rows[2:], 0, request, time.Second); s.UseKnown || s.Full || s.Queued {
+		t.Errorf("nothing is known, but %+v", s)
+	}
+}
--- a/server/settings/seeds_test.go
+++ b/server/settings/seeds_test.go
@@ -45,6 +45,18 @@
 		Expect(s.MaxViewAge).To(Equal(4500 * time.Millisecond))
 	})
 
+	It("list the contracts of the platform, also unknown ones (guards against a new contract that keeps processes from starting)", func() {
+		for text, want := range map[string][]string{"": nil, "pressure": {"pressure"}, "pressure, some.thing/2,": {"pressure", "some.thing/2"}} {
+			s, err := load(seededINI + "contracts = " + text + "\n")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(s.Contracts).To(Equal(want))
+			Expect(s.OverloadControl).To(BeFalse())
+		}
+		s, err := load(strings.Replace(seededINI, "[entry]", "[entry]\noverload_control = true", 1))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.OverloadControl).To(BeTrue())
+	})
+
 	// Guards against a process that starts although its settings are invalid.
 	DescribeTable("are rejected with the field and what is allowed", func(old, new, wantField, wantAllowed string) {
 		_, err := load(strings.Replace(seededINI, old, new, 1))
