--- a/server/admission/decide.go
+++ b/server/admission/decide.go
@@ -42,8 +42,8 @@
 	// as full. LoadKnown is false if this instance has no recent report of it.
 	Load, LoadLimit float64
 	LoadKnown       bool
-	// Unread reports whether requests wait at the best backend server for their prompts to be read.
-	Unread bool
+	// QueueShare is the part, 0 to 1, of FirstEvent that the request spends in the queue of the best backend server.
+	QueueShare float64
 	// FirstEvent is the expected time from the dispatch to the first event on the best backend server, 0 if unknown. SoonestEvent is
 	// the shortest such time in the pool.
 	FirstEvent, SoonestEvent time.Duration
@@ -169,8 +169,8 @@
 	// queuePerRank is the part of the queue at the best backend server that a request leaves to each more urgent rank of its pool. With
 	// two more urgent ranks, it starts only where a slot is free.
 	queuePerRank = 0.5
-	// maxTimeLeft is the largest part of the target time that is left to more urgent ranks likewise: each answer takes some time, also
-	// without a queue.
+	// maxTimeLeft is the largest part of the target time that is left to more urgent ranks likewise: short queues are usual, and do not
+	// show that capacity is short.
 	maxTimeLeft = 0.75
 	// slotsInUse is the load at which all slots are in use.
 	slotsInUse = 1
@@ -197,11 +197,15 @@
 	if moreUrgent > 0 && s.Load >= slotsInUse+max(s.LoadLimit-slotsInUse, 0)*(1-left) {
 		return true
 	}
-	return s.contended() && target > 0 && s.FirstEvent > time.Duration(float64(target)*(1-min(left, maxTimeLeft)))
+	return target > 0 && float64(s.FirstEvent)*min(max(finite(s.QueueShare), 0), 1) > float64(target)*(1-min(left, maxTimeLeft))
 }
 
 // contended reports whether requests wait at the best backend server, for a slot or for their prompts to be read.
-func (s *Snapshot) contended() bool { return s.Load >= slotsInUse || s.Unread }
+func (s *Snapshot) contended() bool { return s.Load >= slotsInUse || s.QueueShare >= contendedShare }
+
+// contendedShare is the part of the time to the first event in the queue from which the best backend server counts as contended: its queue
+// takes as long as the request itself.
+const contendedShare = 0.5
 
 // expectedStart returns the expected time until the request can start, 0 if it can start now or the time is unknown.
 func expectedStart(s *Snapshot, full bool) time.Duration {
@@ -276,8 +280,8 @@
 const starvedShare = 1.0 / 3
 
 // favouredShare is the share of the requests of a starved rank that are ordered before more urgent ones. Together with what the rank is
-// served anyway, a tenth was enough in the replays; a quarter took capacity from the urgent ranks without need.
-const favouredShare = 0.1
+// served anyway, a seventh is enough in the replays; a quarter took capacity from the urgent ranks without need.
+const favouredShare = 0.15
 
 // isFavoured reports whether a request is ordered before more urgent ones because its rank is starved.
 func isFavoured(draw float64, rank int, s *Snapshot) bool {
--- a/server/admission/pools.go
+++ b/server/admission/pools.go
@@ -24,6 +24,8 @@
 	queuedWaiting = 0.5
 	// maxReported is the largest figure of a load report that is believed.
 	maxReported = 1_000_000
+	// minReleases is the number of recent releases from which they make up a rate.
+	minReleases = 4
 	// costWeight is the weight of one request in the running mean of the cost.
 	costWeight = 1.0 / 32
 	// memoryTargets is the number of target times over which learned values are kept. It holds several generations of requests, and an
@@ -189,6 +191,9 @@
 	if s.busySince.IsZero() || busy < s.memory/2 || now.Sub(s.busyUntil) > s.memory/4 {
 		return 0
 	}
+	if s.releases < minReleases {
+		return 0
+	}
 	counted := s.memory.Seconds() * (1 - decay(busy, s.memory))
 	return s.releases * decay(now.Sub(s.releasedAt), s.memory) / counted
 }
--- a/server/entry/admission.go
+++ b/server/entry/admission.go
@@ -109,7 +109,7 @@
 	c := &candidates[best]
 	s := admission.Snapshot{
 		Full: c.Full(r, wait), Load: c.Load, LoadLimit: loadLimit, LoadKnown: c.LoadKnown, FirstEvent: c.FirstEvent, SoonestEvent: c.FirstEvent,
-		Unread: c.QueuedTokens > float64(r.PromptTokens-c.CachedTokens)*r.TimeRatio,
+		QueueShare: queueShare(c, r),
 	}
 	if atLimit := *c; !s.Full {
 		if atLimit.Load = loadLimit; !atLimit.Full(r, wait) {
@@ -135,6 +135,19 @@
 	return s
 }
 
+// queueShare returns the part of the time to the first event that a request spends in the queue of the backend server: behind other
+// requests for a slot, or behind the prompts of others.
+func queueShare(c *balance.Candidate, r *balance.Request) float64 {
+	share := 0.0
+	if c.Load > 1 {
+		share = (c.Load - 1) / c.Load
+	}
+	if own := float64(r.PromptTokens-c.CachedTokens) * r.TimeRatio; own > 0 && c.QueuedTokens > 0 {
+		share = max(share, c.QueuedTokens/(c.QueuedTokens+own))
+	}
+	return share
+}
+
 // queuedPerServer is the mean number of waiting requests at a backend server from which a pool counts as queued.
 const queuedPerServer = 0.5
 
