admission: the order of refusals moves from limits to the queue that uses it

Change: limits/fairness.go becomes part of server/admission, unexported except for the type; FirstRefused, which only tests called, goes. Its table of cases is kept and runs against the queue.

--- a/server/limits/fairness.go
+++ b/server/admission/fairness.go
@@ -1,4 +1,4 @@
-package limits
+package admission
 
 import "time"
 
@@ -21,10 +21,10 @@
 	return q.Use / q.Weight
 }
 
-// RefusedBefore reports whether a is refused before b. The request with the lower priority is refused first. If the
+// refusedBefore reports whether a is refused before b. The request with the lower priority is refused first. If the
 // priorities are equal, it is the one whose workspace uses more relative to its weight, and then the one that has waited
 // for less time.
-func RefusedBefore(a, b QueuedRequest) bool {
+func refusedBefore(a, b QueuedRequest) bool {
 	if a.Priority != b.Priority {
 		return a.Priority < b.Priority
 	}
@@ -33,14 +33,3 @@
 	}
 	return a.Since.After(b.Since)
 }
-
-// FirstRefused returns the index of the request that is refused before all others, or -1 for an empty slice.
-func FirstRefused(queued []QueuedRequest) int {
-	first := -1
-	for i := range queued {
-		if first < 0 || RefusedBefore(queued[i], queued[first]) {
-			first = i
-		}
-	}
-	return first
-}
--- a/server/admission/queue.go
+++ b/server/admission/queue.go
@@ -5,8 +5,6 @@
 	"slices"
 	"sync"
 	"time"
-
-	"clementinetray/server/limits"
 )
 
 // pollInterval is the interval at which a waiting request tries again without being woken, as other entry instances may have freed
@@ -17,7 +15,7 @@
 type Waiter struct {
 	// QueuedRequest decides the order in a queue without overload control. Its Use is the number of the workspace's running requests
 	// on this instance.
-	limits.QueuedRequest
+	QueuedRequest
 	// Request decides the order in a queue with overload control. It is not changed, only replaced by Queue.Update.
 	Request *Request
 	// pool names the backend servers that the request waits for; the queue's mutex guards it.
@@ -29,7 +27,7 @@
 }
 
 // NewWaiter returns a waiter for the pool. No other request waits behind one whose pool has no name.
-func NewWaiter(pool string, q limits.QueuedRequest, r *Request) *Waiter {
+func NewWaiter(pool string, q QueuedRequest, r *Request) *Waiter {
 	return &Waiter{QueuedRequest: q, Request: r, pool: pool, wake: make(chan struct{}, 1), refused: make(chan struct{})}
 }
 
@@ -40,9 +38,9 @@
 // by arrival.
 func ByPriority(_ time.Time, a, b *Waiter) int {
 	switch {
-	case limits.RefusedBefore(b.QueuedRequest, a.QueuedRequest):
+	case refusedBefore(b.QueuedRequest, a.QueuedRequest):
 		return -1
-	case limits.RefusedBefore(a.QueuedRequest, b.QueuedRequest):
+	case refusedBefore(a.QueuedRequest, b.QueuedRequest):
 		return 1
 	}
 	return 0
--- a/server/admission/queue_test.go
+++ b/server/admission/queue_test.go
@@ -6,8 +6,6 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-
-	"clementinetray/server/limits"
 )
 
 func TestAdmission(t *testing.T) {
@@ -16,7 +14,7 @@
 }
 
 func testWaiter(pool string, priority int, usage float64) *Waiter {
-	return NewWaiter(pool, limits.QueuedRequest{Priority: priority, Use: usage, Since: time.Now()}, nil)
+	return NewWaiter(pool, QueuedRequest{Priority: priority, Use: usage, Since: time.Now()}, nil)
 }
 
 func newTestQueue(limit int) *Queue { return NewQueue(limit, ByPriority, func(int) {}) }
@@ -67,3 +65,31 @@
 		Expect(second.wake).To(Receive())
 	})
 })
+
+var _ = DescribeTable("order of refusals under overload",
+	func(waiting []QueuedRequest, want int) {
+		q, waiters := newTestQueue(max(len(waiting)-1, 0)), make([]*Waiter, len(waiting))
+		for i, w := range waiting {
+			waiters[i] = NewWaiter("p", w, nil)
+			q.Enqueue(start, waiters[i])
+		}
+		q.WakeFirst(start, "p")
+		refused := -1
+		for i, w := range waiters {
+			select {
+			case <-w.refused:
+				Expect(refused).To(Equal(-1))
+				refused = i
+			default:
+			}
+		}
+		Expect(refused).To(Equal(want))
+	},
+	Entry("guards against refusing a class of high priority before one of low priority", []QueuedRequest{{Priority: 2, Use: 0.9}, {Priority: 1, Use: 0.1}}, 1),
+	Entry("guards against refusing a workspace with smaller use first", []QueuedRequest{{Use: 0.3}, {Use: 0.8}, {Use: 0.5}}, 1),
+	Entry("guards against a weight that has no effect", []QueuedRequest{{Use: 0.6, Weight: 1}, {Use: 0.8, Weight: 4}}, 0),
+	Entry("guards against the longest waiting request being refused first", []QueuedRequest{{Since: start}, {Since: start.Add(time.Second)}}, 1),
+	Entry("guards against an index into an empty slice", nil, -1),
+)
+
+var start = time.Unix(1_000_000, 0)
--- a/server/admission/replay_test.go
+++ b/server/admission/replay_test.go
@@ -6,8 +6,6 @@
 	"slices"
 	"testing"
 	"time"
-
-	"clementinetray/server/limits"
 )
 
 // A replay plays arrivals at a pool in steps of virtual time, once with overload control off and once on. Each instance sees the load of the
@@ -311,7 +309,7 @@
 	in, k := c.instance, &r.kinds[c.kind]
 	waiter := c.waiter
 	fresh := func() *Waiter {
-		return NewWaiter(poolName, limits.QueuedRequest{Priority: -k.rank, Use: float64(in.running[c.workspace]), Since: r.now}, c.request)
+		return NewWaiter(poolName, QueuedRequest{Priority: -k.rank, Use: float64(in.running[c.workspace]), Since: r.now}, c.request)
 	}
 	ahead, moreUrgent := in.queue.Ahead(r.now, waiter, fresh)
 	best := 0
--- a/server/entry/place.go
+++ b/server/entry/place.go
@@ -152,7 +152,7 @@
 	if rq.routed != nil {
 		controlled = rq.routed.admission
 	}
-	return admission.NewWaiter(rq.poolName(), limits.QueuedRequest{
+	return admission.NewWaiter(rq.poolName(), admission.QueuedRequest{
 		Priority: rq.priority(), Use: float64(h.runningByWorkspace.get(name)), Weight: weight, Since: time.Now(),
 	}, controlled)
 }
--- a/server/limits/allocator_test.go
+++ b/server/limits/allocator_test.go
@@ -293,15 +293,6 @@
 	}),
 )
 
-var _ = DescribeTable("order of refusals under overload",
-	func(waiting []limits.QueuedRequest, want int) { Expect(limits.FirstRefused(waiting)).To(Equal(want)) },
-	Entry("guards against refusing a class of high priority before one of low priority", []limits.QueuedRequest{{Priority: 2, Use: 0.9}, {Priority: 1, Use: 0.1}}, 1),
-	Entry("guards against refusing a workspace with smaller use first", []limits.QueuedRequest{{Use: 0.3}, {Use: 0.8}, {Use: 0.5}}, 1),
-	Entry("guards against a weight that has no effect", []limits.QueuedRequest{{Use: 0.6, Weight: 1}, {Use: 0.8, Weight: 4}}, 0),
-	Entry("guards against the longest waiting request being refused first", []limits.QueuedRequest{{Since: start}, {Since: start.Add(time.Second)}}, 1),
-	Entry("guards against an index into an empty slice", nil, -1),
-)
-
 var _ = It("keeps the limit while many requests, heartbeats and replies run at the same time", func() {
 	const limit = 40
 	a, src, members := newFleet(4, limit)
