admission: waiting requests with many others before them try less often

Cause: each waiting request tried every 100 ms and compared itself with the whole queue; 256 of them would take a third of a small instance's processor. Change: the interval grows with the number of requests ahead, to 500 ms. Only a request that finds the best backend server full counts for the release rate.

--- a/server/admission/pools.go
+++ b/server/admission/pools.go
@@ -113,7 +113,7 @@
 }
 
 // Observe records the state of a pool that a request saw: the fields of the snapshot from Full to Outdated. busy is true if the request
-// does not run now, and workReported if a backend server reported how long work takes on its machine.
+// found it full, and workReported if a backend server reported how long work takes on its machine.
 func (p *Pools) Observe(now time.Time, name string, s Snapshot, busy, workReported bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/server/admission/queue.go
+++ b/server/admission/queue.go
@@ -7,9 +7,15 @@
 	"time"
 )
 
-// pollInterval is the interval at which a waiting request tries again without being woken, as other entry instances may have freed
-// capacity.
-const pollInterval = 100 * time.Millisecond
+const (
+	// pollInterval is the interval at which a waiting request tries again without being woken, as other entry instances may have freed
+	// capacity.
+	pollInterval = 100 * time.Millisecond
+	// A request with others ahead only looks whether it has become late. It does so less often by one pollInterval for each
+	// pollStep requests ahead, so that a long queue costs little, and at least every maxPollInterval.
+	pollStep        = 8
+	maxPollInterval = 5 * pollInterval
+)
 
 // Waiter is a request in a Queue.
 type Waiter struct {
@@ -176,13 +182,13 @@
 )
 
 // Wait blocks until w should try again, w was refused, the deadline has passed or ctx has ended. A change of the fleet table closes
-// fleetChanged.
-func (q *Queue) Wait(ctx context.Context, w *Waiter, fleetChanged <-chan struct{}, deadline time.Time) Wakeup {
+// fleetChanged. ahead is the number of requests that come before w.
+func (q *Queue) Wait(ctx context.Context, w *Waiter, fleetChanged <-chan struct{}, deadline time.Time, ahead int) Wakeup {
 	remaining := time.Until(deadline)
 	if remaining <= 0 {
 		return Ended
 	}
-	timer := time.NewTimer(min(remaining, pollInterval))
+	timer := time.NewTimer(min(remaining, pollInterval*time.Duration(1+ahead/pollStep), maxPollInterval))
 	defer timer.Stop()
 	select {
 	case <-w.wake:
--- a/server/entry/admission.go
+++ b/server/entry/admission.go
@@ -57,8 +57,9 @@
 	return max(float64(call.PromptTokens)/4+float64(cmp.Or(call.OutputHint, call.MaxOutputTokens)), 1)
 }
 
-// requestsAhead returns how many waiting requests with overload control come before the request.
+// requestsAhead returns how many waiting requests with overload control come before the request, and records the number in w.
 func (h *Handler) requestsAhead(rq *request, w *wait, now time.Time) (ahead int, moreUrgent bool) {
+	w.ahead = 0
 	if !rq.routed.controlled {
 		return 0, false
 	}
@@ -66,7 +67,8 @@
 	if w.queue != h.controlledQueue {
 		waiter = nil
 	}
-	return h.controlledQueue.Ahead(now, waiter, func() *admission.Waiter { return h.newWaiter(rq) })
+	w.ahead, moreUrgent = h.controlledQueue.Ahead(now, waiter, func() *admission.Waiter { return h.newWaiter(rq) })
+	return w.ahead, moreUrgent
 }
 
 // isFleetOutdated reports whether the fleet table is too old to reject a request for lateness.
@@ -94,7 +96,7 @@
 	state.Outdated = h.isFleetOutdated(snap)
 	learned := h.pools.Snapshot(snap.Now, rq.servicePool(), state)
 	p := h.decide(rq, snap.Now, &learned)
-	h.pools.Observe(snap.Now, rq.servicePool(), state, p != nil, reported)
+	h.pools.Observe(snap.Now, rq.servicePool(), state, p != nil && rq.routed.decision.Reason == admission.ReasonFull, reported)
 	return p
 }
 
--- a/server/entry/place.go
+++ b/server/entry/place.go
@@ -62,6 +62,8 @@
 	// queue is the queue that waiter is in; both are nil while the request is not queued.
 	queue  *admission.Queue
 	waiter *admission.Waiter
+	// ahead is the number of waiting requests with overload control that came before this one at the last try.
+	ahead int
 }
 
 func (w *wait) run(ctx context.Context) (*placement, *problem.Problem) {
@@ -83,7 +85,7 @@
 			return nil, p
 		}
 		w.enqueue()
-		switch w.queue.Wait(ctx, w.waiter, fleetChanged, h.waitDeadline(rq, w.start, p.Reason)) {
+		switch w.queue.Wait(ctx, w.waiter, fleetChanged, h.waitDeadline(rq, w.start, p.Reason), w.ahead) {
 		case admission.TryAgain:
 		case admission.Refused:
 			p = problem.New(problem.Overloaded, "requests of a higher class or of a smaller share wait already").WithRetryAfter(h.overflowRetryAfter(rq))
