entry: refusals with overload control never ask callers to wait for over a third of their time left

Cause: a refusal because servers are cold or missing had a Retry-After of 1 s for all, which callers with less time don't honour, and which makes them return together. A standing that had become unknown kept its last value. Change: SpreadRetry applies to these refusals too; an unknown standing counts as unknown again.

--- a/server/admission/decide.go
+++ b/server/admission/decide.go
@@ -326,7 +326,7 @@
 )
 
 // RetryAfter returns when a retry of a rejected request makes sense: about the time until the pool is expected to have capacity for its
-// rank. Two thirds of the largest value are random, drawn from random (0 to 1), and it is at most a third of the time left.
+// rank, see SpreadRetry.
 //
 // Load patterns: clients that all retry at the same moment after a burst of rejections, and clients that retry several times at once.
 func RetryAfter(now time.Time, r *Request, s *Snapshot, random float64) time.Duration {
@@ -339,6 +339,12 @@
 		// Nothing is known of the pool: the retries are spread over the time that callers honour.
 		expected = left / retryLeftDivisor
 	}
-	largest := min(expected*3/2, left/retryLeftDivisor)
+	return SpreadRetry(expected, left, random)
+}
+
+// SpreadRetry returns a Retry-After around the expected time until a retry makes sense. Two thirds of the largest value are random, drawn from
+// random (0 to 1), and it is at most a third of the time left.
+func SpreadRetry(expected, left time.Duration, random float64) time.Duration {
+	largest := min(expected*3/2, max(left, 0)/retryLeftDivisor)
 	return max(largest/3+time.Duration(min(max(finite(random), 0), 1)*float64(largest*2/3)), minRetryAfter)
 }
--- a/server/entry/admission.go
+++ b/server/entry/admission.go
@@ -43,7 +43,11 @@
 		call.admission = &changed
 	}
 	if h.cfg.Standings != nil {
-		if ratio, known := h.cfg.Standings.Standing(rq.workspaceName(), now); known && ratio != call.admission.Standing {
+		ratio, known := h.cfg.Standings.Standing(rq.workspaceName(), now)
+		if !known {
+			ratio = 0
+		}
+		if ratio != call.admission.Standing {
 			changed := *call.admission
 			changed.Standing = ratio
 			call.admission = &changed
@@ -229,6 +233,11 @@
 	outcome := "run"
 	if p != nil {
 		outcome = string(p.Reason)
+		left := rq.routed.deadline.Sub(now)
+		if (p.Reason == problem.Overloaded || p.Reason == problem.NoBackendServer) && p.RetryAfter > left/3 {
+			// Refusals for other reasons than a decision, such as servers that are all cold, have a fixed time.
+			p.RetryAfter = admission.SpreadRetry(p.RetryAfter, left, rand.Float64())
+		}
 		if p.Reason == problem.Overloaded && !rq.mayHaveRun {
 			h.pools.RecordRejected(now, rq.id, rq.routed.deadline)
 		}
