admission: the mean of the last load reports counts where an instance knows few loads

Cause: with 72 instances and 40 servers, an instance has a recent report of 12 in 100 servers, and the best known server has an old report of a low load. Change: while under half of the pool's loads are known, the mean of the last reports counts as the load for less urgent ranks, if it is larger. It is forgotten within about a target time without reports.

--- a/server/admission/decide.go
+++ b/server/admission/decide.go
@@ -39,7 +39,8 @@
 	// Full reports whether the best backend server counts as full, whatever the rank of the request.
 	Full bool
 	// Load is the number of requests on the best backend server divided by its slots, and LoadLimit is the load from which it counts
-	// as full. LoadKnown is false if this instance has no recent report of it.
+	// as full. LoadKnown is false if the instance has recent reports of under half of the pool. The mean of the last reports then counts as
+	// Load if it is larger, as a report of some seconds ago says little of the server's present load.
 	Load, LoadLimit float64
 	LoadKnown       bool
 	// QueueShare is the part, 0 to 1, of FirstEvent that the request spends in the queue of the best backend server.
--- a/server/admission/pools.go
+++ b/server/admission/pools.go
@@ -22,6 +22,9 @@
 	// queuedWaiting is the mean number of waiting requests at a backend server from which the pool counts as queued. Single requests
 	// that wait for a moment are usual at a moderate load.
 	queuedWaiting = 0.5
+	// reportLifetimeDivisor sets how fast the load of a pool without reports is forgotten: within about a target time. Without
+	// requests there are no reports, so that the first request after a while shows the present load.
+	reportLifetimeDivisor = 3
 	// maxReported is the largest figure of a load report that is believed.
 	maxReported = 1_000_000
 	// minReleases is the number of recent releases from which they make up a rate.
@@ -172,7 +175,7 @@
 	if m := &s.reports; m.count >= minReports && now.Sub(m.at) <= s.memory {
 		out.UseKnown, out.Use, out.Queued = true, m.use, m.waiting >= queuedWaiting
 		if !out.LoadKnown {
-			out.Load = max(out.Load, m.load)
+			out.Load = max(out.Load, m.load*decay(now.Sub(m.at), s.memory/reportLifetimeDivisor))
 		}
 	}
 	out.ReleaseRate = s.releaseRate(now)
--- a/server/entry/admission.go
+++ b/server/entry/admission.go
@@ -114,7 +114,7 @@
 func poolState(candidates []balance.Candidate, rows []balance.Row, best int, r *balance.Request, wait time.Duration) admission.Snapshot {
 	c := &candidates[best]
 	s := admission.Snapshot{
-		Full: c.Full(r, wait), Load: c.Load, LoadLimit: loadLimit, LoadKnown: c.LoadKnown, FirstEvent: c.FirstEvent, SoonestEvent: c.FirstEvent,
+		Full: c.Full(r, wait), Load: c.Load, LoadLimit: loadLimit, FirstEvent: c.FirstEvent, SoonestEvent: c.FirstEvent,
 		QueueShare: queueShare(c, r),
 	}
 	if atLimit := *c; !s.Full {
@@ -135,6 +135,8 @@
 			known++
 		}
 	}
+	// Of a few known servers, the best one often has an old report of a low load.
+	s.LoadKnown = c.LoadKnown && 2*int(known) >= len(candidates)
 	if slots > 0 {
 		s.UseKnown, s.Use, s.Queued = true, used/slots, queued/known >= queuedPerServer
 	}
--- a/server/entry/admission_internal_test.go
+++ b/server/entry/admission_internal_test.go
@@ -24,6 +24,12 @@
 	if !s.UseKnown || s.Use < 0.69 || s.Use > 0.71 || !s.Queued {
 		t.Errorf("%+v", s)
 	}
+	if !s.LoadKnown {
+		t.Error("two of three loads are known, but the load of the best one counts as unknown")
+	}
+	if s := poolState(append(candidates[1:2:2], candidates[2], candidates[2]), rows, 0, request, time.Second); s.LoadKnown {
+		t.Error("one of three loads is known, but the load of the best one counts as known")
+	}
 	if s := poolState(candidates[2:], rows[2:], 0, request, time.Second); s.UseKnown || s.Full || s.Queued {
 		t.Errorf("nothing is known, but %+v", s)
 	}
