admission: lateness is decided by the expected time on the chosen backend server

Cause: the shortest of many estimated times in a pool is too low, so that a request was hardly ever known to be late. Change: the time to the first event of the best backend server decides; the shortest of the pool only if nothing is known of the best one. Result: go test of admission, TestPoolState and the specs of overload control and routed requests of entry pass.

--- a/server/admission/decide.go
+++ b/server/admission/decide.go
@@ -45,9 +45,8 @@
 	LoadKnown       bool
 	// QueueShare is the part, 0 to 1, of FirstEvent that the request spends in the queue of the best backend server.
 	QueueShare float64
-	// FirstEvent is the expected time from the dispatch to the first event on the best backend server, 0 if unknown. SoonestEvent is
-	// the shortest such time in the pool.
-	FirstEvent, SoonestEvent time.Duration
+	// FirstEvent is the expected time from the dispatch to the first event on the best backend server, 0 if unknown.
+	FirstEvent time.Duration
 	// UseKnown reports whether Use and Queued are known. Use is the share of the pool's slots that are in use, and Queued is true if
 	// requests wait at its backend servers.
 	UseKnown bool
@@ -219,11 +218,11 @@
 // expectedAnswer returns the expected time until the first event. The queue of the best backend server gets shorter while the request
 // waits here, so of the time to the first event only as much is added to the wait as the target allows.
 func expectedAnswer(r *Request, s *Snapshot, start time.Duration) time.Duration {
-	afterWait := s.SoonestEvent
+	afterWait := s.FirstEvent
 	if r.Target > 0 {
 		afterWait = min(afterWait, r.Target)
 	}
-	return max(s.SoonestEvent, start+afterWait)
+	return max(s.FirstEvent, start+afterWait)
 }
 
 // waitEnd returns when a request that can't start is rejected. short is true if more urgent requests are displaced by it, or if nothing
@@ -334,7 +333,7 @@
 	left := max(r.Deadline.Sub(now), 0)
 	expected := expectedStart(s, s.fullFor(r))
 	if r.Target > 0 {
-		expected = max(expected, s.SoonestEvent-r.Target)
+		expected = max(expected, s.FirstEvent-r.Target)
 	}
 	if expected <= 0 {
 		// Nothing is known of the pool: the retries are spread over the time that callers honour.
--- a/server/admission/property_test.go
+++ b/server/admission/property_test.go
@@ -38,7 +38,7 @@
 func drawSnapshot(t *rapid.T) *Snapshot {
 	s := &Snapshot{
 		Full: rapid.Bool().Draw(t, "full"), Load: drawFloat(t, "load"), LoadLimit: drawFloat(t, "limit"), LoadKnown: rapid.Bool().Draw(t, "loadKnown"),
-		QueueShare: drawFloat(t, "queueShare"), FirstEvent: drawDuration(t, "first"), SoonestEvent: drawDuration(t, "soonest"),
+		QueueShare: drawFloat(t, "queueShare"), FirstEvent: drawDuration(t, "first"),
 		UseKnown: rapid.Bool().Draw(t, "useKnown"), Use: drawFloat(t, "use"), Queued: rapid.Bool().Draw(t, "queued"),
 		Outdated: rapid.Bool().Draw(t, "outdated"), ReleaseRate: drawFloat(t, "rate"), Ahead: rapid.OneOf(rapid.IntRange(0, 9), rapid.Int()).Draw(t, "ahead"),
 		MoreUrgentAhead: rapid.Bool().Draw(t, "moreUrgent"),
@@ -149,7 +149,7 @@
 	f.Fuzz(func(t *testing.T, rank int, standing, cost float64, arrived, target, deadline int64, load float64, first int64, rate float64, ahead int) {
 		r := &Request{Rank: rank, Standing: standing, Cost: cost, Arrived: propertyNow.Add(time.Duration(arrived)), Target: time.Duration(target),
 			Deadline: propertyNow.Add(time.Duration(deadline)), WaitingSince: propertyNow}
-		s := &Snapshot{Load: load, FirstEvent: time.Duration(first), SoonestEvent: time.Duration(first), ReleaseRate: rate, Ahead: ahead, UseKnown: true, Use: load}
+		s := &Snapshot{Load: load, FirstEvent: time.Duration(first), ReleaseRate: rate, Ahead: ahead, UseKnown: true, Use: load}
 		d := Decide(propertyNow, r, s)
 		if d.Action == Reject && load < idleUse {
 			t.Errorf("rejected at a use of %f", load)
--- a/server/admission/replay_test.go
+++ b/server/admission/replay_test.go
@@ -378,7 +378,7 @@
 	first := time.Duration((wait + firstEventAt*c.service.Seconds()) * float64(time.Second))
 	return Snapshot{
 		Full: in.seen[best] >= 1.5, Load: in.seen[best], LoadLimit: 1.5, LoadKnown: true, UseKnown: true, Use: use, Queued: queued >= queuedWaiting*float64(len(in.seen)),
-		FirstEvent: first, SoonestEvent: first, QueueShare: wait / first.Seconds(),
+		FirstEvent: first, QueueShare: wait / first.Seconds(),
 	}
 }
 
--- a/server/entry/admission.go
+++ b/server/entry/admission.go
@@ -110,11 +110,12 @@
 	loadLimitQuick = 3
 )
 
-// poolState returns the state of a pool as the candidates show it. wait is the time that a request may wait here.
+// poolState returns the state of a pool as the candidates show it. If nothing is known of the best one's time to the first event, the
+// shortest of the pool counts. wait is the time that a request may wait here.
 func poolState(candidates []balance.Candidate, rows []balance.Row, best int, r *balance.Request, wait time.Duration) admission.Snapshot {
 	c := &candidates[best]
 	s := admission.Snapshot{
-		Full: c.Full(r, wait), Load: c.Load, LoadLimit: loadLimit, FirstEvent: c.FirstEvent, SoonestEvent: c.FirstEvent,
+		Full: c.Full(r, wait), Load: c.Load, LoadLimit: loadLimit, FirstEvent: c.FirstEvent,
 		QueueShare: queueShare(c, r),
 	}
 	if atLimit := *c; !s.Full {
@@ -125,8 +126,8 @@
 	used, slots, queued, known := 0.0, 0.0, 0.0, 0.0
 	for i := range candidates {
 		o, n := &candidates[i], float64(max(rows[i].Slots, 1))
-		if o.FirstEvent > 0 && o.Penalty == 0 && (!o.Cold || o.ColdReady) && (s.SoonestEvent <= 0 || o.FirstEvent < s.SoonestEvent) {
-			s.SoonestEvent = o.FirstEvent
+		if c.FirstEvent <= 0 && o.FirstEvent > 0 && o.Penalty == 0 && (!o.Cold || o.ColdReady) && (s.FirstEvent <= 0 || o.FirstEvent < s.FirstEvent) {
+			s.FirstEvent = o.FirstEvent
 		}
 		if o.LoadKnown {
 			used += min(o.Load, 1) * n
