--- a/server/daemon/entry.go
+++ b/server/daemon/entry.go
@@ -42,6 +42,8 @@
 	s *settings.Settings, adapter Adapter, identity controlclient.Identity, board *blackboard.Board, client control.Client, holder *limits.Holder,
 	workspaceShares *shares.Instance, estimator *ratings.Estimator, recorder event.Recorder, registerer prometheus.Registerer, logger *slog.Logger,
 ) (*entry.Handler, error) {
+	overloadControl := s.OverloadControl || adapter.Features(s.Contracts).OverloadControl
+	workspaceShares.Enable(overloadControl)
 	return entry.New(entry.Config{
 		Instance: identity.Instance, Boot: identity.Boot, AvailabilityZone: s.AvailabilityZone, Region: s.Region,
 		Board: board, Control: client,
@@ -51,6 +53,7 @@
 		RoutedRetryRatio: retryBudgetShare * s.RetryRatio, RoutedRetrySlack: retryBudgetShare * s.RetrySlack, SureConfidence: s.SureConfidence,
 		Dialect: adapter.Dialect(), DrainDelay: s.StopGrace * drainDelayPercent / 100, StreamDrainDelay: s.StopGrace * streamDrainDelayPercent / 100,
 		MaxViewAge: s.MaxViewAge, MaxBody: int64(s.MaxBodyBytes), RequestLimit: s.RequestTimeLimit,
+		OverloadControl: overloadControl, Standings: workspaceShares,
 		AnswerBuffer: int64(s.MemoryLimitMB) << 20 / answerBufferDivisor, RequestBuffer: int64(s.MemoryLimitMB) << 20 / requestBufferDivisor,
 	})
 }
--- a/server/entry/routed_run.go
+++ b/server/entry/routed_run.go
@@ -60,6 +60,7 @@
 	h.balance.RecordLatency(time.Now(), x.server.ID, time.Since(x.began))
 	if x.answerMetadata.LoadKnown {
 		h.balance.RecordLoad(x.server.ID, x.answerMetadata.Load)
+		h.recordLoad(rq, x.answerMetadata.Load)
 	}
 	if f := x.checkRoutedAnswer(); f != nil {
 		return f
@@ -185,6 +186,7 @@
 	call := rq.routed
 	h.logRefusal(rq, p)
 	h.meterRefusal(rq, p)
+	h.recordNotServed(rq, ctx.Err() != nil && context.Cause(ctx) == context.Canceled)
 	switch {
 	case call.answerStarted:
 		// Part of the answer was delivered. Only an aborted connection shows the caller that it is incomplete.
@@ -224,6 +226,7 @@
 	h.countRoutedAnswer(x, time.Since(x.began))
 	h.metrics.firstTokenSeconds.Observe(time.Since(x.rq.start).Seconds())
 	h.logAnswer(x, "answered")
+	h.recordFirstEvent(x.rq)
 	h.writeRoutedAnswer(w, x.rq, &answer{status: x.response.StatusCode, header: x.response.Header, body: body})
 	return nil
 }
