balance: learn service rates of backend servers from responses

Change: package serverrate learns the time per prompt token, between events and per slot for each backend server, corrected by the reported work percentage. Candidate has FirstEvent, EventTime and WorkPercent, and Choose compares a sample by expected time in pools with learned rates (servers that report the percentage, or balance.Options).

--- a/server/balance/balance.go
+++ b/server/balance/balance.go
@@ -31,6 +31,12 @@
 	Parts     []PromptPart
 	// Zone is the availability zone of this entry instance.
 	Zone string
+	// Pool is the name of the set of backend servers from which one is selected, and Kind is the kind of request, for example
+	// its route. Times are learned for each pool and for each kind of its requests.
+	Pool, Kind string
+	// TargetTime is the time to the first event that the caller expects, and EventGap the largest time between two events.
+	// 0: none.
+	TargetTime, EventGap time.Duration
 }
 
 // newTokens returns the number of prompt tokens that are not cached, converted to tokens of the slowest model: a token of
@@ -71,6 +77,13 @@
 	EventTime time.Duration
 	// WorkPercent is how long work takes on the server's machine, as a percentage of the usual time, 0 if it is not reported.
 	WorkPercent int
+	// queueTime is the part of FirstEvent that other requests cause, relativeTime the server's usual time relative to its pool.
+	queueTime    time.Duration
+	relativeTime float64
+	// timed is set if the server's times are learned and the request has a target time. Then timePressure replaces the part of
+	// Pressure that is not Load: queueTime and EventTime relative to the times that the caller expects.
+	timed        bool
+	timePressure float64
 }
 
 const (
@@ -102,6 +115,9 @@
 	best, bestScore := -1, math.Inf(1)
 	group := groupOf(candidates, r)
 	affinityIndex := affinityIndexOf(candidates, r, group)
+	if r.usesExpectedTimes(candidates) {
+		return chooseByTime(candidates, r, group, affinityIndex, Hash(salt))
+	}
 	saltHash, assumed := Hash(salt), assumedPressure(candidates, group, affinityIndex)
 	for i := range candidates {
 		c := &candidates[i]
@@ -137,6 +153,9 @@
 // Pressure returns the combined load of slots, queued tokens and stream delay. 1 is as much as the backend server can
 // process in the time that callers expect.
 func (c *Candidate) Pressure() float64 {
+	if c.timed {
+		return c.Load + c.timePressure
+	}
 	return c.Load + c.QueuedTokens/queueTokensPerLoadUnit + float64(c.EventInterval)/float64(eventIntervalPerLoadUnit)
 }
 
--- /dev/null
+++ b/server/balance/pool.go
@@ -0,0 +1,123 @@
+package balance
+
+import (
+	"iter"
+	"math"
+	"time"
+
+	"clementinetray/server/serverrate"
+)
+
+// poolState is what the servers of a pool have in common.
+type poolState struct {
+	rates *serverrate.Pool
+	// learns is set if the pool's times are learned: by an option of the tracker, or once a server reports its WorkPercent.
+	learns bool
+	// othersPerSlot and waitingPerSlot are running means, over the load reports of all servers, of the requests of other
+	// instances that run or wait, and of those that wait, for each slot.
+	othersPerSlot, waitingPerSlot float64
+	reportCount                   int
+}
+
+// maxPools is the largest number of pools whose times are learned. Requests of further pools share one state.
+const maxPools = 256
+
+// reportWeight is the smallest weight of a load report in the means of its pool. About 50 reports arrive while the load of a pool
+// changes noticeably.
+const reportWeight = 0.02
+
+func (t *Tracker) poolOf(name string) *poolState {
+	p := t.pools[name]
+	if p == nil && len(t.pools) >= maxPools {
+		name = ""
+		p = t.pools[name]
+	}
+	if p == nil {
+		p = &poolState{rates: serverrate.NewPool(), learns: t.options.LearnedRates}
+		t.pools[name] = p
+	}
+	return p
+}
+
+func (s *serverState) join(p *poolState) {
+	if s.pool != p {
+		s.pool = p
+		p.learns = p.learns || s.lastReport.WorkPercent > 0
+	}
+}
+
+func (s *serverState) learns() bool { return s.pool != nil && s.pool.learns }
+
+// ratesOf returns the learned values of the pool's servers.
+func (t *Tracker) ratesOf(p *poolState) iter.Seq[*serverrate.Server] {
+	return func(yield func(*serverrate.Server) bool) {
+		for _, s := range t.servers {
+			if s.pool == p && !yield(&s.rate) {
+				return
+			}
+		}
+	}
+}
+
+// recordReport adds the last load report to the learned values.
+func (s *serverState) recordReport() {
+	s.rate.RecordWork(s.lastReport.WorkPercent, s.lastReport.At)
+	p := s.pool
+	if p == nil {
+		return
+	}
+	p.learns = p.learns || s.lastReport.WorkPercent > 0
+	if slots := float64(s.lastReport.Slots); slots > 0 {
+		p.reportCount++
+		weight := max(reportWeight, 1/float64(p.reportCount))
+		p.othersPerSlot += weight * (min(s.reportedOthers()/slots, maxReportedLoad) - p.othersPerSlot)
+		p.waitingPerSlot += weight * (min(s.reportedOthersWaiting()/slots, maxReportedLoad) - p.waitingPerSlot)
+	}
+}
+
+// maxReportedLoad bounds the load of a report in the means of its pool, so that one wrong report doesn't make all servers look full.
+const maxReportedLoad = 4
+
+func (s *serverState) reportedOthers() float64 {
+	return max(float64(s.lastReport.Running+s.lastReport.Waiting-s.ownRunningAtReport), 0)
+}
+
+func (s *serverState) reportedOthersWaiting() float64 {
+	return max(float64(s.lastReport.Waiting-s.ownWaitingAtReport), 0)
+}
+
+// expectedRequests returns the estimated number of requests that run or wait on the server, and its number of slots. The
+// requests of other instances decay from those of the last report to the mean of the pool, so that a server without a recent
+// report doesn't look idle. slots is the number of slots if no report has one.
+func (s *serverState) expectedRequests(now time.Time, slots int) (requests float64, knownSlots int) {
+	if s.lastReport.Slots > 0 {
+		slots = s.lastReport.Slots
+	}
+	return float64(s.running) + s.others(now, s.reportedOthers(), s.pool.othersPerSlot*float64(slots)), slots
+}
+
+// expectedQueue returns the estimated number of unread tokens. The other instances' share is estimated as in
+// expectedRequests.
+func (s *serverState) expectedQueue(now time.Time, meanTokens float64) float64 {
+	waiting := s.others(now, s.reportedOthersWaiting(), s.pool.waitingPerSlot*float64(s.lastReport.Slots))
+	return s.queuedTokens + max(waiting*meanTokens, s.remoteTokens(now))
+}
+
+func (s *serverState) others(now time.Time, reported, usual float64) float64 {
+	if s.lastReport.At.IsZero() {
+		return usual
+	}
+	return usual + (reported-usual)*ageWeight(now, s.lastReport.At)
+}
+
+// expect replaces the load of a candidate by values that decay to the means of its pool, and sets its expected times.
+func (s *serverState) expect(now time.Time, r *Request, slots int, meanTokens float64, c *Candidate) {
+	c.WorkPercent = s.lastReport.WorkPercent
+	if !s.pool.rates.Known() {
+		return
+	}
+	requests, slots := s.expectedRequests(now, slots)
+	c.Load = requests / math.Max(float64(slots), 1)
+	c.QueuedTokens = s.expectedQueue(now, meanTokens)
+	c.setTimes(now, s, r, requests, slots)
+}
--- a/server/balance/tracker.go
+++ b/server/balance/tracker.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"clementinetray/server/serverrate"
 )
 
 const (
@@ -53,6 +55,16 @@
 	notify NotifyFunc
 	// meanTokens is the running mean of uncached prompt tokens per request, in tokens of the slowest model.
 	meanTokens float64
+	options    Options
+	// pools holds the state of each pool, by Request.Pool.
+	pools map[string]*poolState
+}
+
+// Options are the options of a tracker.
+type Options struct {
+	// LearnedRates enables expected times for all pools. Without it, they are enabled for the pools whose servers report their
+	// WorkPercent.
+	LearnedRates bool
 }
 
 type serverState struct {
@@ -82,6 +94,9 @@
 	partSentAt  map[string]time.Time
 	coldLimiter rateLimiter
 	lastUsed    time.Time
+	rate        serverrate.Server
+	// pool is nil until the server is first a candidate.
+	pool *poolState
 }
 
 // remoteReport is the number of unread tokens that another entry instance reported.
@@ -105,9 +120,13 @@
 	maxRemoteSenders = 64
 )
 
-// NewTracker returns an empty tracker.
-func NewTracker() *Tracker {
-	return &Tracker{servers: map[string]*serverState{}, byHash: map[uint64]*serverState{}}
+// NewTracker returns an empty tracker with at most one set of options.
+func NewTracker(options ...Options) *Tracker {
+	t := &Tracker{servers: map[string]*serverState{}, byHash: map[uint64]*serverState{}, pools: map[string]*poolState{}}
+	for _, o := range options {
+		t.options = o
+	}
+	return t
 }
 
 // NotifyFunc sends the number of unread tokens that this instance has at a backend server, identified by its Hash, to
@@ -192,8 +211,10 @@
 	defer t.mu.Unlock()
 	out := make([]Candidate, 0, len(rows))
 	servers := make([]*serverState, len(rows))
+	pool := t.poolOf(r.Pool)
 	for i := range rows {
 		servers[i] = t.getOrCreate(rows[i].ID, now)
+		servers[i].join(pool)
 	}
 	mean, keys := meanLatency(servers), partKeys(r)
 	for i, row := range rows {
@@ -215,6 +236,9 @@
 				c.Slowness = max(s.latencyMillis/mean, 1)
 			}
 		}
+		if pool.learns {
+			s.expect(now, r, row.Slots, t.meanTokens, &c)
+		}
 		out = append(out, c)
 	}
 	return out
@@ -281,45 +305,6 @@
 	return tokens
 }
 
-// RecordSent records that a request is sent to the backend server. coldRate is the server's ColdRate if it is cold,
-// else 0. The caller calls onFirstByte when the first byte of the answer arrives and onEnd when the attempt ends. Both
-// may be called repeatedly.
-func (t *Tracker) RecordSent(now time.Time, id string, r *Request, coldRate float64) (onFirstByte, onEnd func()) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.getOrCreate(id, now)
-	s.running++
-	keys := partKeys(r)
-	uncached := r.newTokens(s.cachedTokens(now, r, keys))
-	s.queuedTokens += uncached
-	s.waiting++
-	t.meanTokens += requestWeight * (uncached - t.meanTokens)
-	if coldRate > 0 {
-		s.coldLimiter.consume(now, coldRate)
-	}
-	s.recordParts(now, keys)
-	t.notifyLocked(s)
-	var firstByteOnce, endOnce sync.Once
-	onFirstByte = func() {
-		firstByteOnce.Do(func() {
-			t.mu.Lock()
-			defer t.mu.Unlock()
-			s.queuedTokens -= uncached
-			s.waiting--
-			t.notifyLocked(s)
-		})
-	}
-	onEnd = func() {
-		onFirstByte()
-		endOnce.Do(func() {
-			t.mu.Lock()
-			defer t.mu.Unlock()
-			s.running--
-		})
-	}
-	return onFirstByte, onEnd
-}
-
 // partKeys returns the cache keys of the prompt's parts, which include the model, as engines cache parts for each
 // model.
 func partKeys(r *Request) []string {
@@ -352,6 +337,7 @@
 	defer t.mu.Unlock()
 	s := t.getOrCreate(id, report.At)
 	s.lastReport, s.ownRunningAtReport, s.ownWaitingAtReport = report, s.running, s.waiting
+	s.recordReport()
 }
 
 // RecordLatency records the time from dispatch to the first byte of an answer.
@@ -373,6 +359,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.getOrCreate(id, now)
+	s.recordEventInterval(now, interval)
+}
+
+func (s *serverState) recordEventInterval(now time.Time, interval time.Duration) {
 	s.eventInterval += time.Duration(eventWeight * float64(interval-s.eventInterval))
 	s.lastEvent = now
 }
--- a/server/entry/dispatch.go
+++ b/server/entry/dispatch.go
@@ -15,6 +15,7 @@
 
 	"clementinetray/api/control"
 	"clementinetray/api/problem"
+	"clementinetray/server/balance"
 	"clementinetray/server/routing"
 )
 
@@ -102,6 +103,8 @@
 	answered bool
 	// answerMetadata holds the metadata of the answer to a routed request.
 	answerMetadata AnswerMetadata
+	// sent is the record of the attempt in the load balancing, for a routed request.
+	sent *balance.Sent
 	// events is the number of complete events of a stream that this attempt has sent.
 	events int
 	// buffered is the memory that the attempt's answer takes.
@@ -120,7 +123,7 @@
 	x.running.server, x.running.boot, x.running.cancel = placed.server.ID, placed.server.Boot, x.cancel
 	if rq.routed != nil {
 		x.model, x.targetTime, x.cold = rq.routed.model, rq.routed.route.TargetTime(), placed.cold
-		x.running.exchange = x
+		x.running.exchange, x.sent = x, placed.sent
 	}
 	h.runningAttempts.add(&x.running)
 	if rq.countedAttempts == 1 && (rq.routed == nil || rq.attemptCount == 1) {
--- a/server/entry/place.go
+++ b/server/entry/place.go
@@ -8,6 +8,7 @@
 
 	"clementinetray/api/control"
 	"clementinetray/api/problem"
+	"clementinetray/server/balance"
 	"clementinetray/server/limits"
 	"clementinetray/server/routing"
 )
@@ -25,6 +26,8 @@
 	firstByteTimeout time.Duration
 	// cold is true if the backend server of a routed request is cold.
 	cold bool
+	// sent is the record of a routed request in the load balancing.
+	sent *balance.Sent
 	// release releases the slots and removes the request from the backend server's running requests. It may be called more than
 	// once.
 	release func()
--- a/server/entry/routed_place.go
+++ b/server/entry/routed_place.go
@@ -123,18 +123,18 @@
 
 // newPlacement returns a placement on the backend server. The request counts as sent there until the placement is released.
 func (h *Handler) newPlacement(rq *request, server *control.BackendServer, balanceReq *balance.Request, coldRate float64) *placement {
-	onFirstByte, onDone := h.balance.RecordSent(time.Now(), server.ID, balanceReq, coldRate)
+	sent := h.balance.Send(time.Now(), server.ID, balanceReq, coldRate)
 	pool := rq.poolName()
 	var once sync.Once
 	release := func() {
 		once.Do(func() {
-			onDone()
+			sent.Ended(time.Now())
 			h.queue.wakeFirst(pool)
 		})
 	}
 	// After a panic the placement is released through the request.
 	rq.releasePlace = release
-	return &placement{server: server, onFirstByte: onFirstByte, release: release}
+	return &placement{server: server, onFirstByte: sent.FirstByte, sent: sent, release: release}
 }
 
 // routableServers returns the backend servers of the request's service that take new work and have the software version that
@@ -195,6 +195,7 @@
 	return &balance.Request{
 		PromptTokens: c.PromptTokens, Model: model, Parts: c.Parts, Zone: rq.zone,
 		ModelRank: rank, ModelCount: len(c.route.Models), TimeRatio: timeRatio,
+		Pool: c.service, Kind: c.route.Name + "/" + model, TargetTime: c.route.TargetTime(), EventGap: c.route.TargetGap(),
 	}
 }
 
--- a/server/entry/routed_run.go
+++ b/server/entry/routed_run.go
@@ -62,6 +62,9 @@
 	if f := x.checkRoutedAnswer(); f != nil {
 		return f
 	}
+	if !x.isStream() && x.response.StatusCode < http.StatusInternalServerError {
+		x.sent.FirstEvent(time.Now())
+	}
 	if largerModel := h.chooseLargerModel(rq, x.answerMetadata.Confidence); largerModel != "" {
 		x.countDroppedAnswer()
 		h.rememberDropped(x)
@@ -69,12 +72,17 @@
 		call.model = largerModel
 		return f
 	}
-	if call.route.Kind == catalogue.KindStream && x.response.StatusCode == http.StatusOK {
+	if x.isStream() {
 		return h.relayStream(w, x)
 	}
 	return h.relayWhole(w, x)
 }
 
+// isStream reports whether the answer is a stream of events.
+func (x *exchange) isStream() bool {
+	return x.rq.routed.route.Kind == catalogue.KindStream && x.response.StatusCode == http.StatusOK
+}
+
 // checkRoutedAnswer returns a failure if the answer must not be relayed or another backend server may give a better one, else
 // nil.
 func (x *exchange) checkRoutedAnswer() *attemptError {
--- a/server/entry/routed_stream.go
+++ b/server/entry/routed_stream.go
@@ -145,10 +145,11 @@
 		now := time.Now()
 		if first == 0 {
 			first = now.Sub(x.began)
+			x.sent.FirstEvent(now)
 			h.recordPartsAnswered(x.rq)
 		} else {
 			longestPause = max(longestPause, now.Sub(last))
-			h.balance.RecordEventInterval(now, x.server.ID, now.Sub(last))
+			x.sent.Event(now, now.Sub(last))
 		}
 		last = now
 		x.sampleInterval(x.events, now.Sub(x.began)-first, false)
