balance: compare a sample by expected times so that instances do not choose the same server

Cause: with reports that all instances read and that are 200 ms old, all of them choose the server that was best then.

Change: in pools with learned rates a sample of the servers is compared. Times below those that the caller expects count with their square.

--- a/server/balance/balance.go
+++ b/server/balance/balance.go
@@ -77,13 +77,14 @@
 	EventTime time.Duration
 	// WorkPercent is how long work takes on the server's machine, as a percentage of the usual time, 0 if it is not reported.
 	WorkPercent int
-	// queueTime is the part of FirstEvent that other requests cause, relativeTime the server's usual time relative to its pool.
-	queueTime    time.Duration
-	relativeTime float64
+	// queueTime is the part of FirstEvent that other requests cause.
+	queueTime time.Duration
 	// timed is set if the server's times are learned and the request has a target time. Then timePressure replaces the part of
 	// Pressure that is not Load: queueTime and EventTime relative to the times that the caller expects.
 	timed        bool
 	timePressure float64
+	// sampled is set if the pool's rates are learned, so that a sample of the candidates is compared.
+	sampled bool
 }
 
 const (
@@ -115,8 +116,8 @@
 	best, bestScore := -1, math.Inf(1)
 	group := groupOf(candidates, r)
 	affinityIndex := affinityIndexOf(candidates, r, group)
-	if r.usesExpectedTimes(candidates) {
-		return chooseByTime(candidates, r, group, affinityIndex, Hash(salt))
+	if len(candidates) > 0 && candidates[0].sampled {
+		return chooseFromSample(candidates, r, group, affinityIndex, Hash(salt))
 	}
 	saltHash, assumed := Hash(salt), assumedPressure(candidates, group, affinityIndex)
 	for i := range candidates {
--- a/server/balance/expected.go
+++ b/server/balance/expected.go
@@ -6,11 +6,14 @@
 )
 
 const (
-	// maxSampledCandidates is the number of candidates of the model's group that are compared by expected time, besides those
-	// with a part of the prompt. Instances read the same reports at the same time. If each compared all servers, all of them
-	// would choose the one that was best in the last report; with a sample, at most this number times the mean of a server's
-	// requests reach the best one before its next report.
-	maxSampledCandidates = 4
+	// maxSampledKnown is the number of candidates of the model's group with a known load that are compared, besides those with a
+	// part of the prompt. Instances read the same reports at the same time. If each compared all servers, all of them would
+	// choose the one that was best in the last report; with a sample, about this number times the mean of a server's requests
+	// reach the best one before its next report.
+	maxSampledKnown = 4
+	// maxSampled is the number of candidates of the group that are compared in all. Servers of unknown load differ by this
+	// instance's own requests only, which the others don't know, so that more of them can be compared.
+	maxSampled = 8
 	// maxSampledOutside is the number of candidates outside the model's group that are compared.
 	maxSampledOutside = 1
 	// maxSampleDraws bounds the random draws for a sample.
@@ -31,21 +34,25 @@
 	return true
 }
 
-// chooseByTime returns the index of the best candidate of a sample, or -1 if no request may be sent to any of the candidates. It
-// compares all of them if the sample has none without a penalty.
-func chooseByTime(candidates []Candidate, r *Request, group modelGroup, affinityIndex int, saltHash uint64) int {
+// chooseFromSample returns the index of the best candidate of a sample, or -1 if no request may be sent to any of the candidates.
+// It compares all of them if the sample has none without a penalty.
+func chooseFromSample(candidates []Candidate, r *Request, group modelGroup, affinityIndex int, saltHash uint64) int {
+	score := scoreOf
+	if r.usesExpectedTimes(candidates) {
+		score = timeScore
+	}
 	best, bestScore := -1, math.Inf(1)
 	consider := func(i int) {
 		c := &candidates[i]
 		if c.Cold && !c.ColdReady {
 			return
 		}
-		score := timeScore(c, r, i == affinityIndex) + tieBreak(saltHash, c)
+		value := score(c, r, i == affinityIndex) + tieBreak(saltHash, c)
 		if !group.has(c) {
-			score += otherGroupCost
+			value += otherGroupCost
 		}
-		if score < bestScore {
-			best, bestScore = i, score
+		if value < bestScore {
+			best, bestScore = i, value
 		}
 	}
 	for i := range candidates {
@@ -53,20 +60,23 @@
 			consider(i)
 		}
 	}
-	inside, outside := 0, 0
+	inside, known, outside := 0, 0, 0
 	for draw := range uint64(maxSampleDraws) {
 		i := int(rankFor(saltHash, draw) % uint64(len(candidates)))
 		c := &candidates[i]
 		switch {
 		case c.Cold && !c.ColdReady || c.Penalty > 0:
-		case group.has(c) && inside < maxSampledCandidates:
+		case group.has(c) && inside < maxSampled && known < maxSampledKnown:
 			inside++
+			if c.LoadKnown {
+				known++
+			}
 			consider(i)
 		case !group.has(c) && outside < maxSampledOutside:
 			outside++
 			consider(i)
 		}
-		if inside == maxSampledCandidates && outside == maxSampledOutside {
+		if (inside == maxSampled || known == maxSampledKnown) && outside == maxSampledOutside {
 			break
 		}
 	}
@@ -79,14 +89,9 @@
 	return best
 }
 
-// timeScore returns the score of a candidate with expected times. The unit is the time that the caller expects: 1 for a first
-// event that comes at the target time, or for events with the largest wanted time between them.
+// timeScore returns the score of a candidate with expected times, in units of load.
 func timeScore(c *Candidate, r *Request, isAffinityTarget bool) float64 {
-	// A request on a server that takes longer occupies its slot longer.
-	s := c.Load*max(c.relativeTime, 1.0/maxRelativeTime) + float64(c.FirstEvent)/float64(r.TargetTime) + c.Penalty*penaltyWeight
-	if r.EventGap > 0 {
-		s += float64(c.EventTime) / float64(r.EventGap)
-	}
+	s := c.Load + lateness(c.FirstEvent, r.TargetTime) + lateness(c.EventTime, r.EventGap) + c.Penalty*penaltyWeight
 	if c.Zone != r.Zone {
 		s += otherZoneCost
 	}
@@ -96,8 +101,19 @@
 	return s
 }
 
-// maxRelativeTime bounds how much faster than its pool a server counts, so that none attracts all requests.
-const maxRelativeTime = 4
+// lateness returns the cost of an expected time relative to the time that the caller expects, 1 if they are equal and 0 if none is
+// expected. It grows with the square up to there: differences between times that are both far shorter are of no use to the caller,
+// and if they counted, all instances would prefer the same fast servers at a low load.
+func lateness(expected, target time.Duration) float64 {
+	if target <= 0 {
+		return 0
+	}
+	x := float64(expected) / float64(target)
+	if x > 1 {
+		return 2*x - 1
+	}
+	return x * x
+}
 
 // setTimes sets the expected times of a candidate from the learned values of its server. requests is the estimated number of
 // requests there.
@@ -112,7 +128,6 @@
 	c.queueTime = max(all-own, p.SlotWait(now, &s.rate, requests, slots))
 	c.FirstEvent = own + c.queueTime
 	c.EventTime = p.EventTime(now, &s.rate, r.Model)
-	c.relativeTime = p.Factor(now, &s.rate)
 	if r.TargetTime > 0 {
 		c.timed, c.timePressure = true, float64(c.queueTime)/float64(r.TargetTime)
 		if r.EventGap > 0 {
--- a/server/balance/pool.go
+++ b/server/balance/pool.go
@@ -112,10 +112,7 @@
 
 // expect replaces the load of a candidate by values that decay to the means of its pool, and sets its expected times.
 func (s *serverState) expect(now time.Time, r *Request, slots int, meanTokens float64, c *Candidate) {
-	c.WorkPercent = s.lastReport.WorkPercent
-	if !s.pool.rates.Known() {
-		return
-	}
+	c.sampled, c.WorkPercent = true, s.lastReport.WorkPercent
 	requests, slots := s.expectedRequests(now, slots)
 	c.Load = requests / math.Max(float64(slots), 1)
 	c.QueuedTokens = s.expectedQueue(now, meanTokens)
