balance: the load of a server without a recent report decays to its own usual load

Cause: it decayed to the mean of the pool, so that slow servers, which keep their requests for longer, were filled above the others.

--- a/server/balance/pool.go
+++ b/server/balance/pool.go
@@ -71,10 +71,25 @@
 		p.reportCount++
 		weight := max(reportWeight, 1/float64(p.reportCount))
 		p.othersPerSlot += weight * (min(s.reportedOthers()/slots, maxReportedLoad) - p.othersPerSlot)
+		s.reportCount = min(s.reportCount+1, maxServerReports)
+		s.othersPerSlot += (min(s.reportedOthers()/slots, maxReportedLoad) - s.othersPerSlot) / float64(s.reportCount)
 		p.waitingPerSlot += weight * (min(s.reportedOthersWaiting()/slots, maxReportedLoad) - p.waitingPerSlot)
 	}
 }
 
+// usualOthersPerSlot returns the usual number of requests of other instances for each slot: the server's mean, drawn towards that of
+// its pool by the weight of priorReports reports. The mean differs between servers, as slow ones keep their requests for longer.
+func (s *serverState) usualOthersPerSlot() float64 {
+	n := float64(s.reportCount)
+	return (n*s.othersPerSlot + priorReports*s.pool.othersPerSlot) / (n + priorReports)
+}
+
+const (
+	// maxServerReports is the number of reports that a server's mean covers.
+	maxServerReports = 10
+	priorReports     = 2
+)
+
 // maxReportedLoad bounds the load of a report in the means of its pool, so that one wrong report doesn't make all servers look full.
 const maxReportedLoad = 4
 
@@ -87,13 +102,13 @@
 }
 
 // expectedRequests returns the estimated number of requests that run or wait on the server, and its number of slots. The
-// requests of other instances decay from those of the last report to the mean of the pool, so that a server without a recent
+// requests of other instances decay from those of the last report to the usual number, so that a server without a recent
 // report doesn't look idle. slots is the number of slots if no report has one.
 func (s *serverState) expectedRequests(now time.Time, slots int) (requests float64, knownSlots int) {
 	if s.lastReport.Slots > 0 {
 		slots = s.lastReport.Slots
 	}
-	return float64(s.running) + s.others(now, s.reportedOthers(), s.pool.othersPerSlot*float64(slots)), slots
+	return float64(s.running) + s.others(now, s.reportedOthers(), s.usualOthersPerSlot()*float64(slots)), slots
 }
 
 // expectedQueue returns the estimated number of unread tokens. The other instances' share is estimated as in
--- a/server/balance/tracker.go
+++ b/server/balance/tracker.go
@@ -95,6 +95,10 @@
 	coldLimiter rateLimiter
 	lastUsed    time.Time
 	rate        serverrate.Server
+	// othersPerSlot is the running mean over the server's reportCount last reports of the requests of other instances that run or
+	// wait, for each slot.
+	othersPerSlot float64
+	reportCount   int
 	// pool is nil until the server is first a candidate.
 	pool *poolState
 }
