balance: select from a sample without reading all rows of a large pool

Cause: a choice among 600 servers copied each row and computed each candidate.

Change: Select reads the rows of a sample, of the preferred server and of the servers that hold the prompt, in pools with learned rates and more than 64 servers. Other pools use Candidates and Choose as before.

--- a/server/balance/balance_test.go
+++ b/server/balance/balance_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -340,6 +341,54 @@
 	}
 }
 
+// serverList is a balance.ServerList of rows whose IDs are numbers in ascending order.
+type serverList []balance.Row
+
+func (l serverList) Version() balance.ListVersion  { return balance.ListVersion{Epoch: "e", Version: 1} }
+func (l serverList) Len() int                      { return len(l) }
+func (l serverList) ID(i int) string               { return l[i].ID }
+func (l serverList) Row(i int) (balance.Row, bool) { return l[i], true }
+func (l serverList) Index(id string) int {
+	i, found := slices.BinarySearchFunc(l, id, func(r balance.Row, id string) int { return strings.Compare(r.ID, id) })
+	if !found {
+		return -1
+	}
+	return i
+}
+
+// learnedPool returns a tracker with learned rates for the rows.
+func learnedPool(rows []balance.Row, request *balance.Request) *balance.Tracker {
+	tracker := balance.NewTracker(balance.Options{LearnedRates: true})
+	tracker.Candidates(start, rows, request)
+	for i := range 200 {
+		at, row := start.Add(time.Duration(i)*time.Millisecond), rows[i*7%len(rows)]
+		sent := tracker.Send(at, row.ID, &balance.Request{PromptTokens: 100 * i, TimeRatio: 1, Model: request.Model, Kind: request.Kind}, 0)
+		at = at.Add(time.Duration(50+2*i) * time.Millisecond)
+		tracker.RecordLoad(row.ID, balance.LoadReport{Running: 3, Slots: row.Slots, WorkPercent: 100, At: at})
+		sent.FirstByte()
+		sent.FirstEvent(at)
+		sent.Event(at, 30*time.Millisecond)
+		sent.Ended(at.Add(2 * time.Second))
+	}
+	return tracker
+}
+
+func BenchmarkSelect600(b *testing.B) {
+	request := &balance.Request{ModelCount: 3, ModelRank: 2, PromptTokens: 8000, TimeRatio: 1, Zone: "a", Kind: "k", TargetTime: 2 * time.Second,
+		Parts: []balance.PromptPart{{ID: "system", Tokens: 500}, {ID: "subject", Tokens: 4500}, {ID: "own", Tokens: 1000}}}
+	var rows serverList
+	for i := range 600 {
+		rows = append(rows, balance.Row{ID: fmt.Sprintf("s%03d", i), Zone: "a", Slots: 64})
+	}
+	tracker := learnedPool(rows, request)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, ok := tracker.Select(start.Add(time.Second), rows, request, "r"); !ok {
+			b.Fatal("not selected")
+		}
+	}
+}
+
 // Guards against requests that wait behind another entry instance's long prompt, which the backend server's load report
 // shows only after the prompt was read.
 func TestUnreadTokensOfOtherInstances(t *testing.T) {
--- a/server/balance/expected.go
+++ b/server/balance/expected.go
@@ -76,7 +76,7 @@
 			outside++
 			consider(i)
 		}
-		if (inside == maxSampled || known == maxSampledKnown) && outside == maxSampledOutside {
+		if (inside == maxSampled || known == maxSampledKnown) && (group.all || outside == maxSampledOutside) {
 			break
 		}
 	}
--- a/server/balance/group.go
+++ b/server/balance/group.go
@@ -36,7 +36,9 @@
 	below     bool
 }
 
-func (g modelGroup) has(c *Candidate) bool { return g.all || (c.Hash < g.hashLimit) == g.below }
+func (g modelGroup) has(c *Candidate) bool { return g.hasHash(c.Hash) }
+
+func (g modelGroup) hasHash(hash uint64) bool { return g.all || (hash < g.hashLimit) == g.below }
 
 // groupOf returns the group of the request's model. The smallest model has a group of its own, because its short
 // requests would wait for the long prompts of larger models on the same engine. Pools of one or two servers are not
@@ -46,11 +48,10 @@
 	if r.ModelCount < 2 || smallCount == 0 {
 		return modelGroup{all: true}
 	}
-	g := modelGroup{below: r.ModelRank == 0}
 	if len(candidates) > maxPoolSizeForExactGroup {
-		g.hashLimit = math.MaxUint64 / 100 * smallGroupPercent
-		return g
+		return groupOfLarge(r)
 	}
+	g := modelGroup{below: r.ModelRank == 0}
 	var hashes [maxPoolSizeForExactGroup]uint64
 	for i := range candidates {
 		hashes[i] = candidates[i].Hash
@@ -61,6 +62,14 @@
 	return g
 }
 
+// groupOfLarge returns the group of the request's model in a pool of more than maxPoolSizeForExactGroup servers.
+func groupOfLarge(r *Request) modelGroup {
+	if r.ModelCount < 2 {
+		return modelGroup{all: true}
+	}
+	return modelGroup{below: r.ModelRank == 0, hashLimit: math.MaxUint64 / 100 * smallGroupPercent}
+}
+
 // smallGroupPercent is the percentage of a pool that runs the smallest model. A small part of the pool is enough: every
 // request runs on the smallest model first, but takes only a tenth of the time that it takes on the largest one.
 const smallGroupPercent = 22
--- a/server/balance/herding_test.go
+++ b/server/balance/herding_test.go
@@ -104,7 +104,7 @@
 	const warmUp, length, noisePeriod = 10 * time.Second, 20 * time.Second, 600 * time.Millisecond
 	rng := rand.New(rand.NewPCG(seed, 5))
 	var servers []*fakeServer
-	var rows []balance.Row
+	var rows serverList
 	for i := range p.servers {
 		s := &fakeServer{id: fmt.Sprintf("i-%03d", i), factor: 0.7 + float64(i)/float64(p.servers-1), slots: p.slots, percent: 100}
 		s.reports = []balance.LoadReport{{Slots: p.slots, WorkPercent: 100, At: start}}
@@ -132,8 +132,12 @@
 		for due += p.perSecond * tick.Seconds(); due >= 1; due-- {
 			tracker := trackers[rng.IntN(len(trackers))]
 			r := &balance.Request{PromptTokens: p.tokens/2 + rng.IntN(p.tokens), TimeRatio: 1, Zone: "a", Kind: "k", TargetTime: p.target, EventGap: 1200 * time.Millisecond}
-			candidates := tracker.Candidates(now, rows, r)
-			s := servers[balance.Choose(candidates, r, fmt.Sprint(n))]
+			selected, ok := tracker.Select(now, rows, r, fmt.Sprint(n))
+			if !ok {
+				candidates := tracker.Candidates(now, rows, r)
+				selected.Index = balance.Choose(candidates, r, fmt.Sprint(n))
+			}
+			s := servers[selected.Index]
 			n++
 			s.requests = append(s.requests, &fakeRequest{
 				sent: tracker.Send(now, s.id, r, 0), tracker: tracker, unread: float64(r.PromptTokens), generate: p.generate/2 + time.Duration(rng.Int64N(int64(p.generate)))})
--- a/server/balance/pool.go
+++ b/server/balance/pool.go
@@ -17,6 +17,53 @@
 	// instances that run or wait, and of those that wait, for each slot.
 	othersPerSlot, waitingPerSlot float64
 	reportCount                   int
+	// holders holds the servers to which a prompt part was sent last, by the key from partKeys.
+	holders map[string]*[maxHolders]holder
+	// hashes holds Hash of the ids of the pool's servers, in the order of the list with hashesVersion.
+	hashes        []uint64
+	hashesVersion ListVersion
+}
+
+// holder is a server that has probably cached a prompt part.
+type holder struct {
+	server string
+	at     time.Time
+}
+
+const (
+	// maxHolders is the number of servers that are kept for each prompt part. A prompt rarely has more servers to gain from, as all
+	// instances prefer the same server for a shared part.
+	maxHolders = 3
+	// maxHeldParts is the largest number of prompt parts with holders in a pool.
+	maxHeldParts = 16_384
+)
+
+// recordHolder records that a prompt with the parts was sent to the server.
+func (p *poolState) recordHolder(now time.Time, server string, keys []string) {
+	if len(p.holders)+len(keys) > maxHeldParts {
+		for key, h := range p.holders {
+			if now.Sub(h[0].at) > partCacheLifetime/2 {
+				delete(p.holders, key)
+			}
+		}
+		if len(p.holders)+len(keys) > maxHeldParts {
+			clear(p.holders)
+		}
+	}
+	for _, key := range keys {
+		h := p.holders[key]
+		if h == nil {
+			h = &[maxHolders]holder{}
+			p.holders[key] = h
+		}
+		// The holders are kept in the order of their last use.
+		last := 0
+		for last < maxHolders-1 && h[last].server != server {
+			last++
+		}
+		copy(h[1:last+1], h[:last])
+		h[0] = holder{server, now}
+	}
 }
 
 // maxPools is the largest number of pools whose times are learned. Requests of further pools share one state.
@@ -33,7 +80,7 @@
 		p = t.pools[name]
 	}
 	if p == nil {
-		p = &poolState{rates: serverrate.NewPool(), learns: t.options.LearnedRates}
+		p = &poolState{rates: serverrate.NewPool(), learns: t.options.LearnedRates, holders: map[string]*[maxHolders]holder{}}
 		t.pools[name] = p
 	}
 	return p
--- a/server/balance/sent.go
+++ b/server/balance/sent.go
@@ -44,6 +44,9 @@
 		s.coldLimiter.consume(now, coldRate)
 	}
 	s.recordParts(now, keys)
+	if s.learns() {
+		s.pool.recordHolder(now, id, keys)
+	}
 	t.notifyLocked(s)
 	return a
 }
--- a/server/balance/tracker.go
+++ b/server/balance/tracker.go
@@ -221,33 +221,39 @@
 		servers[i].join(pool)
 	}
 	mean, keys := meanLatency(servers), partKeys(r)
-	for i, row := range rows {
+	for i := range rows {
 		s := servers[i]
-		c := Candidate{
-			ID: row.ID, Zone: row.Zone, Hash: s.hash, Load: s.estimateLoad(now, row.Slots),
-			QueuedTokens: s.estimateQueue(now, t.meanTokens), Slowness: 1,
-			CachedTokens: s.cachedTokens(now, r, keys), EventInterval: s.recentEventInterval(now), LoadKnown: s.loadKnown(now),
-		}
-		if row.ColdRemaining > 0 {
-			c.Cold, c.ColdReady, c.ColdRate = true, row.ColdRate > 0 && s.coldLimiter.ready(now), row.ColdRate
-		}
-		if now.Before(s.avoidUntil) || row.Silent {
-			c.Penalty = 1
-		}
-		if s.answerCount >= minLatencySamples {
-			c.Latency = time.Duration(s.latencyMillis * float64(time.Millisecond))
-			if mean > 0 {
-				c.Slowness = max(s.latencyMillis/mean, 1)
-			}
-		}
-		if pool.learns {
-			s.expect(now, r, row.Slots, t.meanTokens, &c)
+		c := s.candidate(now, &rows[i], r, keys, t.meanTokens)
+		if s.answerCount >= minLatencySamples && mean > 0 {
+			c.Slowness = max(s.latencyMillis/mean, 1)
 		}
 		out = append(out, c)
 	}
 	return out
 }
 
+// candidate returns the candidate for a row without Slowness. keys are the cache keys of the prompt's parts.
+func (s *serverState) candidate(now time.Time, row *Row, r *Request, keys []string, meanTokens float64) Candidate {
+	c := Candidate{
+		ID: row.ID, Zone: row.Zone, Hash: s.hash, Load: s.estimateLoad(now, row.Slots),
+		QueuedTokens: s.estimateQueue(now, meanTokens), Slowness: 1,
+		CachedTokens: s.cachedTokens(now, r, keys), EventInterval: s.recentEventInterval(now), LoadKnown: s.loadKnown(now),
+	}
+	if row.ColdRemaining > 0 {
+		c.Cold, c.ColdReady, c.ColdRate = true, row.ColdRate > 0 && s.coldLimiter.ready(now), row.ColdRate
+	}
+	if now.Before(s.avoidUntil) || row.Silent {
+		c.Penalty = 1
+	}
+	if s.answerCount >= minLatencySamples {
+		c.Latency = time.Duration(s.latencyMillis * float64(time.Millisecond))
+	}
+	if s.pool.learns {
+		s.expect(now, r, row.Slots, meanTokens, &c)
+	}
+	return c
+}
+
 // loadKnown reports whether the instance has a recent load report or stream event of the server.
 func (s *serverState) loadKnown(now time.Time) bool {
 	return now.Sub(s.lastReport.At) <= maxReportAge || now.Sub(s.lastEvent) <= maxReportAge
