entry: choose among a sample of a large pool, and report learned rates

Cause: the entry built a row of each server of the pool for each request, and operators could not see the learned rates.

Change: chooseServer uses balance.Select, which reads the rows of a sample. Metrics and one log line a minute give the learned rates; server_chosen gives the expected times.

--- a/server/balance/balance_test.go
+++ b/server/balance/balance_test.go
@@ -344,7 +344,7 @@
 // serverList is a balance.ServerList of rows whose IDs are numbers in ascending order.
 type serverList []balance.Row
 
-func (l serverList) Version() balance.ListVersion  { return balance.ListVersion{Epoch: "e", Version: 1} }
+func (l serverList) Identity() any                 { return &l[0] }
 func (l serverList) Len() int                      { return len(l) }
 func (l serverList) ID(i int) string               { return l[i].ID }
 func (l serverList) Row(i int) (balance.Row, bool) { return l[i], true }
--- a/server/balance/pool.go
+++ b/server/balance/pool.go
@@ -19,9 +19,9 @@
 	reportCount                   int
 	// holders holds the servers to which a prompt part was sent last, by the key from partKeys.
 	holders map[string]*[maxHolders]holder
-	// hashes holds Hash of the ids of the pool's servers, in the order of the list with hashesVersion.
-	hashes        []uint64
-	hashesVersion ListVersion
+	// hashes holds Hash of the ids of the pool's servers, in the order of the list with the identity hashesOf.
+	hashes   []uint64
+	hashesOf any
 }
 
 // holder is a server that has probably cached a prompt part.
--- a/server/balance/select.go
+++ b/server/balance/select.go
@@ -5,15 +5,10 @@
 	"time"
 )
 
-// ListVersion identifies the content and the order of a list of servers.
-type ListVersion struct {
-	Epoch   string
-	Version uint64
-}
-
 // ServerList is a pool's list of backend servers, from which Select reads a few. Its methods must not call the tracker.
 type ServerList interface {
-	Version() ListVersion
+	// Identity returns a comparable value that differs between lists of different content or order.
+	Identity() any
 	Len() int
 	ID(i int) string
 	// Index returns the index of a server, or -1.
@@ -53,11 +48,11 @@
 
 // updateHashes computes the hashes of the list's servers if the list has changed.
 func (p *poolState) updateHashes(list ServerList) {
-	version := list.Version()
-	if version == p.hashesVersion && len(p.hashes) == list.Len() {
+	identity := list.Identity()
+	if identity == p.hashesOf && len(p.hashes) == list.Len() {
 		return
 	}
-	p.hashesVersion, p.hashes = version, p.hashes[:0]
+	p.hashesOf, p.hashes = identity, p.hashes[:0]
 	for i := range list.Len() {
 		p.hashes = append(p.hashes, Hash(list.ID(i)))
 	}
--- a/server/entry/handler.go
+++ b/server/entry/handler.go
@@ -108,13 +108,17 @@
 		balance: balance.NewTracker(), boundSessions: newBoundSessions(), oldVersionSessions: newKeptSessions(), answeredRequests: newAnsweredSet(), parts: newPartWatch(), rollouts: newRolloutTimes(), rolloutSamples: newRolloutSamples(), budgets: map[string]*retry.Budget{},
 		idle: make(chan struct{}), stopBackground: stop,
 	}
+	if err := cfg.Registerer.Register(newRateCollector(h.balance)); err != nil {
+		stop()
+		return nil, Error.Wrap(err)
+	}
 	h.drainEnded, h.endDrain = context.WithCancel(context.Background())
 	h.answerBuffer.limit, h.requestBuffer.limit = cfg.AnswerBuffer, cfg.RequestBuffer
 	h.slots = newSlotHolder(&h.cfg)
 	h.finisher = newCallFinisher(&h.cfg)
 	h.ratings = newRater(&h.cfg, m, h.outcomes)
 	h.mux = h.routes()
-	for _, run := range []func(context.Context){h.slots.run, h.finisher.run, h.ratings.run, h.answers.run, h.watchFleet, h.sendKeptSessions} {
+	for _, run := range []func(context.Context){h.slots.run, h.finisher.run, h.ratings.run, h.answers.run, h.watchFleet, h.sendKeptSessions, h.logRates} {
 		h.background.Go(func() { run(ctx) })
 	}
 	return h, nil
--- a/server/entry/routed_log.go
+++ b/server/entry/routed_log.go
@@ -19,6 +19,7 @@
 		slog.String("backend_server", server.ID), slog.String("model", rq.routed.model), slog.Int("attempt", rq.attemptCount+1),
 		slog.Float64("load", c.Load), slog.Float64("queue", c.QueuedTokens), slog.Bool("cold", c.Cold), slog.Float64("doubt", c.Penalty), slog.Float64("slowness", c.Slowness),
 		slog.Int("prompt_tokens", rq.routed.PromptTokens), slog.Int("output_hint", rq.routed.OutputHint),
+		slog.Duration("expected_first", c.FirstEvent), slog.Duration("expected_interval", c.EventTime), slog.Int("work_percent", c.WorkPercent),
 		slog.Int("cached_tokens", c.CachedTokens), slog.Int("candidates", candidates), slog.Int("passed_over", passedOver(snap, rq.routed.service)), slog.Uint64("revision", snap.View.Revision),
 		slog.Duration("view_age", h.cfg.Board.View.Load().Age(snap.Now)), slog.Duration("fleet_age", snap.Now.Sub(snap.Fleet.ReceivedAt)),
 		slog.Duration("waited", snap.Now.Sub(rq.start)))
--- a/server/entry/routed_place.go
+++ b/server/entry/routed_place.go
@@ -43,16 +43,9 @@
 	pool := snap.View.Catalogue.PoolOf(call.service)
 	rq.chooseFirstModel()
 	balanceReq := rq.balanceRequest(pool.Engine, call.model)
-	rows, servers := routableServers(snap, rq, h.boundVersion(rq, snap))
-	if len(rows) == 0 {
-		return nil, h.noServerProblem(snap, rq)
-	}
-	h.setColdRates(snap, rows, pool.ColdPerSecond)
-	h.limitReturning(snap, rows, servers)
-	candidates := h.balance.Candidates(snap.Now, rows, balanceReq)
-	best := balance.Choose(candidates, balanceReq, rq.id)
-	if best < 0 {
-		return nil, problem.New(problem.Overloaded, "each backend server of "+call.service+" is cold").WithRetryAfter(time.Second)
+	servers, candidates, best, p := h.chooseServer(snap, rq, &pool, balanceReq)
+	if p != nil {
+		return nil, p
 	}
 	server := servers[best]
 	h.bindVersion(rq, server, snap.Now)
@@ -164,20 +157,26 @@
 func matchingServers(snap *routing.Snapshot, rq *request, versionMatches func(version string) bool, coldTime time.Duration) ([]balance.Row, []*control.BackendServer) {
 	pool := snap.Fleet.ByService[rq.routed.service]
 	rows, servers := make([]balance.Row, 0, len(pool)), make([]*control.BackendServer, 0, len(pool))
-	fleetAge := snap.Now.Sub(snap.Fleet.ReceivedAt)
 	for _, b := range pool {
-		if !routing.Routable(snap, b) || rq.route.Exclude[b.ID] || !versionMatches(b.SoftwareVersion) {
-			continue
+		if row, ok := matchingRow(snap, rq, b, versionMatches, coldTime); ok {
+			rows, servers = append(rows, row), append(servers, b)
 		}
-		loadAge := b.LoadAge + fleetAge
-		coldFor := max(time.Duration(b.ColdMillis)*time.Millisecond-loadAge, assumedColdTime(b, coldTime, snap.Now), 0)
-		silent := b.Silent || fleetAge > fleet.SilentAfter || !b.StatesCold && loadAge > fleet.SilentAfter
-		rows = append(rows, balance.Row{ID: b.ID, Zone: b.AvailabilityZone, Slots: b.Capacity, Silent: silent, ColdRemaining: coldFor})
-		servers = append(servers, b)
 	}
 	return rows, servers
 }
 
+// matchingRow returns the row of a backend server, or false if it doesn't take the request as new work.
+func matchingRow(snap *routing.Snapshot, rq *request, b *control.BackendServer, versionMatches func(version string) bool, coldTime time.Duration) (balance.Row, bool) {
+	if !routing.Routable(snap, b) || rq.route.Exclude[b.ID] || !versionMatches(b.SoftwareVersion) {
+		return balance.Row{}, false
+	}
+	fleetAge := snap.Now.Sub(snap.Fleet.ReceivedAt)
+	loadAge := b.LoadAge + fleetAge
+	coldFor := max(time.Duration(b.ColdMillis)*time.Millisecond-loadAge, assumedColdTime(b, coldTime, snap.Now), 0)
+	silent := b.Silent || fleetAge > fleet.SilentAfter || !b.StatesCold && loadAge > fleet.SilentAfter
+	return balance.Row{ID: b.ID, Zone: b.AvailabilityZone, Slots: b.Capacity, Silent: silent, ColdRemaining: coldFor}, true
+}
+
 // assumedColdTime returns how long a backend server is assumed to stay cold that has not announced itself since its row was
 // restored from the record of an earlier leader, which has no cold times. The announcement follows within seconds.
 func assumedColdTime(b *control.BackendServer, coldTime time.Duration, now time.Time) time.Duration {
