balance: compare more servers when an instance knows few loads

Change: the sample has 4 servers of unknown load, and of those with a known load 4 divided by their share, at most 16. The servers that are preferred for a prefix are kept until the list of servers changes.

--- a/server/balance/expected.go
+++ b/server/balance/expected.go
@@ -6,20 +6,67 @@
 )
 
 const (
-	// maxSampledKnown is the number of candidates of the model's group with a known load that are compared, besides those with a
-	// part of the prompt. Instances read the same reports at the same time. If each compared all servers, all of them would
-	// choose the one that was best in the last report; with a sample, about this number times the mean of a server's requests
-	// reach the best one before its next report.
-	maxSampledKnown = 4
-	// maxSampled is the number of candidates of the group that are compared in all. Servers of unknown load differ by this
-	// instance's own requests only, which the others don't know, so that more of them can be compared.
-	maxSampled = 8
+	// minSampledKnown is the number of candidates of the model's group with a known load that are compared if the loads of all
+	// servers are known. Instances read the same reports at the same time. If each compared all servers, all of them would choose
+	// the one that was best in the last report; with a sample, about this number times the mean of a server's requests reach the
+	// best one before its next report.
+	minSampledKnown = 4
+	// maxSampledKnown is the largest number of such candidates. If an instance knows the loads of few servers, the other instances
+	// know others, so that the sample grows with the inverse of the share of known ones.
+	maxSampledKnown = 16
+	// maxSampledUnknown is the number of candidates of the group whose load is not known. They differ by this instance's own
+	// requests only.
+	maxSampledUnknown = 4
 	// maxSampledOutside is the number of candidates outside the model's group that are compared.
 	maxSampledOutside = 1
-	// maxSampleDraws bounds the random draws for a sample.
-	maxSampleDraws = 48
+	// maxSampleDraws bounds the random draws for a sample, which cost up to 70 ns each.
+	maxSampleDraws = 64
 )
 
+// sampleQuota counts the candidates of a sample, besides those with a part of the prompt.
+type sampleQuota struct {
+	// drawn is the number of random draws of servers in the group.
+	drawn, known, unknown, outside int
+	// knownFull is set when there are enough candidates of known load.
+	knownFull bool
+}
+
+// take reports whether a randomly drawn server is to be compared.
+func (q *sampleQuota) take(inGroup, loadKnown bool) bool {
+	switch {
+	case !inGroup:
+		return q.outside < maxSampledOutside
+	case loadKnown:
+		q.drawn++
+		return !q.knownFull
+	default:
+		q.drawn++
+		return q.unknown < maxSampledUnknown
+	}
+}
+
+// add counts a drawn server that was compared.
+func (q *sampleQuota) add(inGroup, loadKnown bool) {
+	switch {
+	case !inGroup:
+		q.outside++
+	case loadKnown:
+		q.known++
+		// The wanted number is minSampledKnown divided by the share of known ones among the draws.
+		q.knownFull = q.known >= maxSampledKnown || q.known >= minSampledKnown && q.known*q.known >= minSampledKnown*q.drawn
+	default:
+		q.unknown++
+	}
+}
+
+// inside returns the number of candidates in the group.
+func (q *sampleQuota) inside() int { return q.known + q.unknown }
+
+// full reports whether no further draw can add a candidate. A group of all servers has no candidates outside.
+func (q *sampleQuota) full(group modelGroup) bool {
+	return q.knownFull && q.unknown == maxSampledUnknown && (group.all || q.outside == maxSampledOutside)
+}
+
 // usesExpectedTimes reports whether the candidates are compared by expected times: each has one, and the request has a target
 // time to relate it to.
 func (r *Request) usesExpectedTimes(candidates []Candidate) bool {
@@ -60,27 +107,22 @@
 			consider(i)
 		}
 	}
-	inside, known, outside := 0, 0, 0
+	var quota sampleQuota
 	for draw := range uint64(maxSampleDraws) {
+		if quota.full(group) {
+			break
+		}
 		i := int(rankFor(saltHash, draw) % uint64(len(candidates)))
 		c := &candidates[i]
-		switch {
-		case c.Cold && !c.ColdReady || c.Penalty > 0:
-		case group.has(c) && inside < maxSampled && known < maxSampledKnown:
-			inside++
-			if c.LoadKnown {
-				known++
-			}
-			consider(i)
-		case !group.has(c) && outside < maxSampledOutside:
-			outside++
-			consider(i)
+		if c.Cold && !c.ColdReady || c.Penalty > 0 {
+			continue
 		}
-		if (inside == maxSampled || known == maxSampledKnown) && (group.all || outside == maxSampledOutside) {
-			break
+		if inGroup := group.has(c); quota.take(inGroup, c.LoadKnown) {
+			quota.add(inGroup, c.LoadKnown)
+			consider(i)
 		}
 	}
-	if best >= 0 && candidates[best].Penalty == 0 && inside > 0 {
+	if best >= 0 && candidates[best].Penalty == 0 && quota.inside() > 0 {
 		return best
 	}
 	for i := range candidates {
--- a/server/balance/herding_test.go
+++ b/server/balance/herding_test.go
@@ -107,7 +107,7 @@
 	var rows serverList
 	for i := range p.servers {
 		s := &fakeServer{id: fmt.Sprintf("i-%03d", i), factor: 0.7 + float64(i)/float64(p.servers-1), slots: p.slots, percent: 100}
-		s.reports = []balance.LoadReport{{Slots: p.slots, WorkPercent: 100, At: start}}
+		s.reports = []balance.LoadReport{{Slots: p.slots, At: start}}
 		s.reportsWork = p.options.LearnedRates
 		servers, rows = append(servers, s), append(rows, balance.Row{ID: s.id, Zone: "a", Slots: p.slots})
 	}
--- a/server/balance/pool.go
+++ b/server/balance/pool.go
@@ -22,6 +22,8 @@
 	// hashes holds Hash of the ids of the pool's servers, in the order of the list with the identity hashesOf.
 	hashes   []uint64
 	hashesOf any
+	// preferred caches the results of preferredServers for hashes.
+	preferred map[preferredKey][maxPreferred]int
 }
 
 // holder is a server that has probably cached a prompt part.
@@ -80,7 +82,8 @@
 		p = t.pools[name]
 	}
 	if p == nil {
-		p = &poolState{rates: serverrate.NewPool(), learns: t.options.LearnedRates, holders: map[string]*[maxHolders]holder{}}
+		p = &poolState{rates: serverrate.NewPool(), learns: t.options.LearnedRates, holders: map[string]*[maxHolders]holder{},
+			preferred: map[preferredKey][maxPreferred]int{}}
 		t.pools[name] = p
 	}
 	return p
--- a/server/balance/select.go
+++ b/server/balance/select.go
@@ -40,7 +40,7 @@
 	e.considerPreferred()
 	e.considerHolders()
 	e.considerSample()
-	if e.inside == 0 || e.best.Candidate.Penalty > 0 {
+	if e.quota.inside() == 0 || e.best.Candidate.Penalty > 0 {
 		return Selection{}, false
 	}
 	return e.best, true
@@ -53,6 +53,7 @@
 		return
 	}
 	p.hashesOf, p.hashes = identity, p.hashes[:0]
+	clear(p.preferred)
 	for i := range list.Len() {
 		p.hashes = append(p.hashes, Hash(list.ID(i)))
 	}
@@ -70,23 +71,22 @@
 	group     modelGroup
 	best      Selection
 	bestScore float64
-	// inside is the number of sampled candidates in the group of the request's model.
-	inside int
+	quota     sampleQuota
 }
 
 // consider compares a server with the best candidate. It returns false if the request may not be sent to it. A server with a
 // penalty is not considered if skipPenalty is set.
-func (e *selector) consider(i int, preferred, skipPenalty bool) (c Candidate, usable bool) {
+func (e *selector) consider(i int, preferred, skipPenalty bool) (usable bool) {
 	row, ok := e.list.Row(i)
 	if !ok {
-		return c, false
+		return false
 	}
 	s := e.t.getOrCreate(row.ID, e.now)
 	s.join(e.pool)
-	c = s.candidate(e.now, &row, e.r, e.keys, e.t.meanTokens)
+	c := s.candidate(e.now, &row, e.r, e.keys, e.t.meanTokens)
 	c.Slowness = max(e.pool.rates.Factor(e.now, &s.rate), 1)
 	if c.Cold && !c.ColdReady || skipPenalty && c.Penalty > 0 {
-		return c, false
+		return false
 	}
 	score := timeScore(&c, e.r, preferred) + tieBreak(e.saltHash, &c)
 	if !e.group.has(&c) {
@@ -95,7 +95,7 @@
 	if score < e.bestScore {
 		e.best, e.bestScore = Selection{i, c}, score
 	}
-	return c, true
+	return true
 }
 
 // considerPreferred considers the server of the group that all instances prefer for the prompt's shared prefix: the first usable
@@ -105,33 +105,53 @@
 	if key == "" {
 		return
 	}
-	type ranked struct {
-		rank  uint64
-		index int
+	for _, index := range e.pool.preferredServers(preferredKey{Hash(e.r.Model + "/" + key), e.group}) {
+		if index >= 0 && e.consider(index, true, false) {
+			return
+		}
+	}
+}
+
+// preferredKey identifies the order of a pool's servers for a shared prefix.
+type preferredKey struct {
+	prefix uint64
+	group  modelGroup
+}
+
+const (
+	// maxPreferred is the number of servers that are kept in the order of a shared prefix, in case that the first ones are not
+	// usable.
+	maxPreferred = 3
+	// maxPreferredKeys is the number of shared prefixes whose servers are kept.
+	maxPreferredKeys = 4096
+)
+
+// preferredServers returns the indexes of the servers of the group with the highest ranks for the prefix, or -1 instead of missing
+// ones.
+func (p *poolState) preferredServers(key preferredKey) [maxPreferred]int {
+	if top, ok := p.preferred[key]; ok {
+		return top
 	}
-	var top [3]ranked
-	keyHash := Hash(e.r.Model + "/" + key)
-	for i, hash := range e.pool.hashes {
-		if !e.group.hasHash(hash) {
+	top, ranks := [maxPreferred]int{-1, -1, -1}, [maxPreferred]uint64{}
+	for i, hash := range p.hashes {
+		if !key.group.hasHash(hash) {
 			continue
 		}
-		rank := rankFor(keyHash, hash)
+		rank := rankFor(key.prefix, hash)
 		for j := range top {
-			if rank > top[j].rank {
+			if top[j] < 0 || rank > ranks[j] {
 				copy(top[j+1:], top[j:])
-				top[j] = ranked{rank, i}
+				copy(ranks[j+1:], ranks[j:])
+				top[j], ranks[j] = i, rank
 				break
 			}
 		}
 	}
-	for _, candidate := range top {
-		if candidate.rank == 0 {
-			return
-		}
-		if _, usable := e.consider(candidate.index, true, false); usable {
-			return
-		}
+	if len(p.preferred) >= maxPreferredKeys {
+		clear(p.preferred)
 	}
+	p.preferred[key] = top
+	return top
 }
 
 // considerHolders considers the servers that have probably cached the longest part of the prompt.
@@ -146,8 +166,7 @@
 				continue
 			}
 			if index := e.list.Index(h.server); index >= 0 && index != e.best.Index {
-				_, usable := e.consider(index, false, true)
-				found = found || usable
+				found = e.consider(index, false, true) || found
 			}
 		}
 		if found {
@@ -158,27 +177,19 @@
 
 // considerSample considers random servers, as chooseFromSample.
 func (e *selector) considerSample() {
-	known, outside := 0, 0
 	for draw := range uint64(maxSampleDraws) {
-		full := e.inside == maxSampled || known == maxSampledKnown
-		if full && (e.group.all || outside == maxSampledOutside) {
+		if e.quota.full(e.group) {
 			return
 		}
 		i := int(rankFor(e.saltHash, draw) % uint64(len(e.pool.hashes)))
-		inside := e.group.hasHash(e.pool.hashes[i])
-		if inside && full || !inside && outside == maxSampledOutside {
+		hash := e.pool.hashes[i]
+		inGroup, s := e.group.hasHash(hash), e.t.byHash[hash]
+		loadKnown := s != nil && s.loadKnown(e.now)
+		if !e.quota.take(inGroup, loadKnown) {
 			continue
 		}
-		c, usable := e.consider(i, false, true)
-		switch {
-		case !usable:
-		case !inside:
-			outside++
-		default:
-			e.inside++
-			if c.LoadKnown {
-				known++
-			}
+		if e.consider(i, false, true) {
+			e.quota.add(inGroup, loadKnown)
 		}
 	}
 }
