balance: compare further servers when the sample's best one is full

Cause: a request waited because each server of its sample was full, while others had free slots.

Change: Select draws up to 192 further servers and skips the full ones without reading their rows; Choose compares all candidates.

--- a/server/balance/expected.go
+++ b/server/balance/expected.go
@@ -82,7 +82,7 @@
 }
 
 // chooseFromSample returns the index of the best candidate of a sample, or -1 if no request may be sent to any of the candidates.
-// It compares all of them if the sample has none without a penalty.
+// It compares all of them if the sample has none without a penalty, or if its best one is full.
 func chooseFromSample(candidates []Candidate, r *Request, group modelGroup, affinityIndex int, saltHash uint64) int {
 	score := scoreOf
 	if r.usesExpectedTimes(candidates) {
@@ -122,7 +122,7 @@
 			consider(i)
 		}
 	}
-	if best >= 0 && candidates[best].Penalty == 0 && quota.inside() > 0 {
+	if best >= 0 && candidates[best].Penalty == 0 && candidates[best].Load < fullLoad && quota.inside() > 0 {
 		return best
 	}
 	for i := range candidates {
--- a/server/balance/select.go
+++ b/server/balance/select.go
@@ -38,6 +38,7 @@
 	e.considerPreferred()
 	e.considerHolders()
 	e.considerSample()
+	e.considerUntilFree()
 	if e.quota.inside() == 0 || e.best.Candidate.Penalty > 0 {
 		return Selection{}, false
 	}
@@ -243,3 +244,24 @@
 		}
 	}
 }
+
+// considerUntilFree considers further random servers while the best candidate is full, as a request must not wait because only the
+// sample is full. Servers that are full too are skipped without reading their rows.
+func (e *selector) considerUntilFree() {
+	for draw := uint64(maxSampleDraws); draw < maxSampleDraws+maxFreeDraws; draw++ {
+		if e.best.Index < 0 || e.best.Candidate.Load < fullLoad {
+			return
+		}
+		i := int(rankFor(e.saltHash, draw) % uint64(len(e.pool.hashes)))
+		if s := e.t.byHash[e.pool.hashes[i]]; s != nil && s.pool != nil {
+			if requests, slots := s.expectedRequests(e.now, 0); slots > 0 && requests >= fullLoad*float64(slots) {
+				continue
+			}
+		}
+		e.consider(i, false, true)
+	}
+}
+
+// maxFreeDraws bounds the random draws for a server that is not full. In a pool in which 1 in 100 servers is not full, they find one
+// with a probability of 85%.
+const maxFreeDraws = 192
--- a/server/balance/select_test.go
+++ b/server/balance/select_test.go
@@ -86,6 +86,36 @@
 	}
 }
 
+// Guards against a request that waits because each server of its sample is full, while others are not.
+func TestSelectFindsAServerThatIsNotFull(t *testing.T) {
+	for _, n := range []int{40, 140} {
+		rows, request := largePool(n)
+		request.Parts = nil
+		tracker, now := learnedPool(rows, request), start.Add(time.Second)
+		for i, row := range rows {
+			running := 40
+			if i%20 == 0 {
+				running = 6
+			}
+			tracker.RecordLoad(row.ID, balance.LoadReport{Running: running, Slots: 24, WorkPercent: 100, At: now})
+		}
+		found := 0
+		for i := range 100 {
+			selected, ok := tracker.Select(now, rows, request, fmt.Sprint(i))
+			if !ok {
+				candidates := tracker.Candidates(now, rows, request)
+				selected.Candidate = candidates[balance.Choose(candidates, request, fmt.Sprint(i))]
+			}
+			if selected.Candidate.Load < 1.5 {
+				found++
+			}
+		}
+		if found < 99 {
+			t.Errorf("%d of 100 requests found a server that is not full, among %d servers", found, n)
+		}
+	}
+}
+
 // Guards against a pressure of a sample that differs from that of the pool.
 func TestSelectPressure(t *testing.T) {
 	rows, request := largePool(140)
