balance: compute the expected times of a candidate together

Cause: each time computed the server's factor and its work factor again, and loads were computed that learned ones replace.

--- a/server/balance/expected.go
+++ b/server/balance/expected.go
@@ -161,15 +161,13 @@
 // requests there.
 func (c *Candidate) setTimes(now time.Time, s *serverState, r *Request, requests float64, slots int) {
 	p := s.pool.rates
-	unread := r.newTokens(c.CachedTokens)
-	own, all := p.FirstEvent(now, &s.rate, r.Kind, unread), p.FirstEvent(now, &s.rate, r.Kind, unread+c.QueuedTokens)
-	if own <= 0 {
+	e, ok := p.Estimate(now, &s.rate, r.Kind, r.Model, r.newTokens(c.CachedTokens), c.QueuedTokens)
+	if !ok {
 		return
 	}
 	// The requests before this one are read while it waits for a slot, so that the longer of the two waits counts.
-	c.queueTime = max(all-own, p.SlotWait(now, &s.rate, requests, slots))
-	c.FirstEvent = own + c.queueTime
-	c.EventTime = p.EventTime(now, &s.rate, r.Model)
+	c.queueTime = max(e.First-e.Alone, p.SlotWait(now, &s.rate, requests, slots))
+	c.FirstEvent, c.EventTime = e.Alone+c.queueTime, e.Event
 	if r.TargetTime > 0 {
 		c.timed, c.timePressure = true, float64(c.queueTime)/float64(r.TargetTime)
 		if r.EventGap > 0 {
--- a/server/balance/pool.go
+++ b/server/balance/pool.go
@@ -175,7 +175,7 @@
 	return usual + (reported-usual)*ageWeight(now, s.lastReport.At)
 }
 
-// expect replaces the load of a candidate by values that decay to the means of its pool, and sets its expected times.
+// expect sets the load of a candidate, which decays to the usual one, and its expected times.
 func (s *serverState) expect(now time.Time, r *Request, slots int, meanTokens float64, c *Candidate) {
 	c.sampled, c.WorkPercent = true, s.lastReport.WorkPercent
 	requests, slots := s.expectedRequests(now, slots)
--- a/server/balance/tracker.go
+++ b/server/balance/tracker.go
@@ -235,9 +235,7 @@
 // candidate returns the candidate for a row without Slowness. keys are the cache keys of the prompt's parts.
 func (s *serverState) candidate(now time.Time, row *Row, r *Request, keys []string, meanTokens float64) Candidate {
 	c := Candidate{
-		ID: row.ID, Zone: row.Zone, Hash: s.hash, Load: s.estimateLoad(now, row.Slots),
-		QueuedTokens: s.estimateQueue(now, meanTokens), Slowness: 1,
-		CachedTokens: s.cachedTokens(now, r, keys), EventInterval: s.recentEventInterval(now), LoadKnown: s.loadKnown(now),
+		ID: row.ID, Zone: row.Zone, Hash: s.hash, Slowness: 1, CachedTokens: s.cachedTokens(now, r, keys), EventInterval: s.recentEventInterval(now), LoadKnown: s.loadKnown(now),
 	}
 	if row.ColdRemaining > 0 {
 		c.Cold, c.ColdReady, c.ColdRate = true, row.ColdRate > 0 && s.coldLimiter.ready(now), row.ColdRate
@@ -250,6 +248,8 @@
 	}
 	if s.pool.learns {
 		s.expect(now, r, row.Slots, meanTokens, &c)
+	} else {
+		c.Load, c.QueuedTokens = s.estimateLoad(now, row.Slots), s.estimateQueue(now, meanTokens)
 	}
 	return c
 }
--- a/server/serverrate/serverrate.go
+++ b/server/serverrate/serverrate.go
@@ -177,18 +177,49 @@
 	return max(p.covariance/p.tokenVariance, 0)
 }
 
-// usualMillis returns the pool's time to the first event of a request with the number of unread tokens, or 0 if it is not known.
-// A kind of request that has not been seen yet takes the mean of the others.
+// usualMillis returns the pool's time to the first event of a request with the number of unread tokens.
 func (p *Pool) usualMillis(kindName string, tokens float64) float64 {
+	return max(p.base(kindName)+p.rate()*tokens, minMillis)
+}
+
+// base returns the pool's time to the first event of a request without unread tokens, in milliseconds. A kind of request that has
+// not been seen yet takes the mean of the others.
+func (p *Pool) base(kindName string) float64 {
+	k := p.kinds[kindName]
+	if k == nil && len(p.kinds) >= maxKinds {
+		k = p.kinds[""]
+	}
 	rate := p.rate()
-	if k := p.kinds[p.kindName(kindName)]; k != nil && k.count > 0 {
-		return max(max(k.millis-rate*k.tokens, 0)+rate*tokens, minMillis)
+	if k != nil {
+		return max(k.millis-rate*k.tokens, 0)
 	}
-	base, count := 0.0, 0
+	sum := 0.0
 	for _, k := range p.kinds {
-		base, count = base+max(k.millis-rate*k.tokens, 0), count+1
+		sum += max(k.millis-rate*k.tokens, 0)
 	}
-	return max(base/float64(max(count, 1))+rate*tokens, minMillis)
+	return sum / float64(max(len(p.kinds), 1))
+}
+
+// Estimate holds the expected times of a request on a server.
+type Estimate struct {
+	// Alone is the time to the first event without other requests, First the one behind the unread tokens of others.
+	Alone, First time.Duration
+	// Event is the time between events, 0 if it is not known.
+	Event time.Duration
+}
+
+// Estimate returns FirstEvent for the request's own unread tokens and for those with the tokens ahead of it, and EventTime. It
+// returns false while the pool is not known.
+func (p *Pool) Estimate(now time.Time, s *Server, kindName, model string, own, ahead float64) (Estimate, bool) {
+	if !p.Known() {
+		return Estimate{}, false
+	}
+	work := s.WorkFactor(now)
+	scale, base, rate := work*p.Factor(now, s), p.base(kindName), p.rate()
+	return Estimate{
+		Alone: duration(scale * max(base+rate*own, minMillis)), First: duration(scale * max(base+rate*(own+ahead), minMillis)),
+		Event: duration(work * p.usualEventMillis(now, s, model)),
+	}, true
 }
 
 // minMillis is the smallest expected time, which keeps quotients finite.
@@ -211,11 +242,6 @@
 	return duration(p.usualMillis(kindName, tokens) * p.Factor(now, s) * s.WorkFactor(now))
 }
 
-// TokenTime returns the expected time that the server takes to read the tokens at now.
-func (p *Pool) TokenTime(now time.Time, s *Server, tokens float64) time.Duration {
-	return duration(p.rate() * tokens * p.Factor(now, s) * s.WorkFactor(now))
-}
-
 // Factor returns the server's usual time relative to that of its pool. It is the pool's median for a server without responses.
 func (p *Pool) Factor(now time.Time, s *Server) float64 { return s.first.value(p.medianFirst, now) }
 
@@ -303,6 +329,10 @@
 // EventTime returns the expected time between two events of the model at now, 0 if it is not known. The recent time between
 // events shows how busy the server is; it decays to the server's usual time.
 func (p *Pool) EventTime(now time.Time, s *Server, model string) time.Duration {
+	return duration(p.usualEventMillis(now, s, model) * s.WorkFactor(now))
+}
+
+func (p *Pool) usualEventMillis(now time.Time, s *Server, model string) float64 {
 	m := p.events[model]
 	if m == nil {
 		m = p.events[""]
@@ -315,7 +345,7 @@
 		weight := float64(eventHalfLife) / float64(eventHalfLife+max(now.Sub(s.lastEvent), 0))
 		relative = s.usualEvent + (s.recentEvent-s.usualEvent)*weight
 	}
-	return duration(m.value * relative * s.WorkFactor(now))
+	return m.value * relative
 }
 
 // RecordOccupancy records how long a request occupied a slot of the server. The server's speed changes several times meanwhile, so
