--- a/server/admission/decide.go
+++ b/server/admission/decide.go
@@ -142,7 +142,7 @@
 	if !s.Outdated && !r.Attempted && expectedAnswer(r, s, start) > left {
 		return Decision{Action: Reject, Reason: ReasonLate, ExpectedStart: start}
 	}
-	held := s.UseKnown && (s.contended() || s.Queued) && !r.Attempted && r.Draw < HeldShare(r.Rank, r.Retry, &s.Late)
+	held := s.LoadKnown && s.UseKnown && (s.contended() || s.Queued) && !r.Attempted && r.Draw < HeldShare(r.Rank, r.Retry, &s.Late)
 	d := Decision{Action: Wait, ExpectedStart: start}
 	switch {
 	case s.Ahead > 0:
@@ -180,8 +180,8 @@
 // time, a request loses its order and can't be sent elsewhere. The queue that less urgent requests accept is shorter, so that they wait
 // here first.
 func (s *Snapshot) fullFor(r *Request) bool {
-	if s.Full {
-		return true
+	if s.Full || !s.LoadKnown {
+		return s.Full
 	}
 	rank, target, moreUrgent := clampRank(r.Rank), r.Target, 0
 	for _, t := range s.Targets[:rank] {
--- a/server/entry/admission.go
+++ b/server/entry/admission.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"time"
 
+	"clementinetray/api/control"
 	"clementinetray/api/problem"
 	"clementinetray/server/admission"
 	"clementinetray/server/balance"
@@ -82,7 +83,7 @@
 
 // decideAt records the state of the pool and decides about a request for which a backend server is chosen. It returns nil if the
 // request runs now or is not subject to overload control.
-func (h *Handler) decideAt(rq *request, snap *routing.Snapshot, candidates []balance.Candidate, rows []balance.Row, best int, r *balance.Request) *problem.Problem {
+func (h *Handler) decideAt(rq *request, snap *routing.Snapshot, candidates []balance.Candidate, servers []*control.BackendServer, best int, r *balance.Request) *problem.Problem {
 	reported := false
 	for i := range candidates {
 		if candidates[i].WorkPercent > 0 {
@@ -96,7 +97,7 @@
 		}
 		return nil
 	}
-	state := poolState(candidates, rows, best, r, rq.routed.route.TargetTime()*waitSharePercent/100)
+	state := poolState(candidates, servers, best, r, rq.routed.route.TargetTime()*waitSharePercent/100)
 	state.Outdated = h.isFleetOutdated(snap)
 	learned := h.pools.Snapshot(snap.Now, rq.servicePool(), state)
 	p := h.decide(rq, snap.Now, &learned)
@@ -112,7 +113,7 @@
 
 // poolState returns the state of a pool as the candidates show it. If nothing is known of the best one's time to the first event, the
 // shortest of the pool counts. wait is the time that a request may wait here.
-func poolState(candidates []balance.Candidate, rows []balance.Row, best int, r *balance.Request, wait time.Duration) admission.Snapshot {
+func poolState(candidates []balance.Candidate, servers []*control.BackendServer, best int, r *balance.Request, wait time.Duration) admission.Snapshot {
 	c := &candidates[best]
 	s := admission.Snapshot{
 		Full: c.Full(r, wait), Load: c.Load, LoadLimit: loadLimit, FirstEvent: c.FirstEvent,
@@ -125,7 +126,7 @@
 	}
 	used, slots, queued, known := 0.0, 0.0, 0.0, 0.0
 	for i := range candidates {
-		o, n := &candidates[i], float64(max(rows[i].Slots, 1))
+		o, n := &candidates[i], float64(max(servers[i].Capacity, 1))
 		if c.FirstEvent <= 0 && o.FirstEvent > 0 && o.Penalty == 0 && (!o.Cold || o.ColdReady) && (s.FirstEvent <= 0 || o.FirstEvent < s.FirstEvent) {
 			s.FirstEvent = o.FirstEvent
 		}
--- a/server/entry/admission_internal_test.go
+++ b/server/entry/admission_internal_test.go
@@ -4,20 +4,24 @@
 	"testing"
 	"time"
 
+	"clementinetray/api/control"
 	"clementinetray/server/balance"
 )
 
 // Guards against a pool that counts as full or idle because of servers of which this instance knows nothing, and against lateness that is
 // decided by another server than the best one.
 func TestPoolState(t *testing.T) {
-	rows := []balance.Row{{Slots: 10}, {Slots: 10}, {Slots: 10}}
+	servers := make([]*control.BackendServer, 3)
+	for i := range servers {
+		servers[i] = &control.BackendServer{Announcement: control.Announcement{Capacity: 10}}
+	}
 	request := &balance.Request{PromptTokens: 1000, TimeRatio: 1}
 	candidates := []balance.Candidate{
 		{Load: 1.6, LoadKnown: true, FirstEvent: 3 * time.Second, QueuedTokens: 2000},
 		{Load: 0.4, LoadKnown: true, FirstEvent: time.Second},
 		{Load: 0},
 	}
-	s := poolState(candidates, rows, 0, request, time.Second)
+	s := poolState(candidates, servers, 0, request, time.Second)
 	if !s.Full || s.QueueShare < 0.6 || s.QueueShare > 0.7 || s.FirstEvent != 3*time.Second {
 		t.Errorf("%+v", s)
 	}
@@ -27,13 +31,13 @@
 	if !s.LoadKnown {
 		t.Error("two of three loads are known, but the load of the best one counts as unknown")
 	}
-	if s := poolState(append(candidates[1:2:2], candidates[2], candidates[2]), rows, 0, request, time.Second); s.LoadKnown {
+	if s := poolState(append(candidates[1:2:2], candidates[2], candidates[2]), servers, 0, request, time.Second); s.LoadKnown {
 		t.Error("one of three loads is known, but the load of the best one counts as known")
 	}
-	if s := poolState(candidates, rows, 2, request, time.Second); s.FirstEvent != time.Second {
+	if s := poolState(candidates, servers, 2, request, time.Second); s.FirstEvent != time.Second {
 		t.Errorf("nothing is known of the best server, the quickest one takes 1s, but %+v", s)
 	}
-	if s := poolState(candidates[2:], rows[2:], 0, request, time.Second); s.UseKnown || s.Full || s.Queued {
+	if s := poolState(candidates[2:], servers[2:], 0, request, time.Second); s.UseKnown || s.Full || s.Queued {
 		t.Errorf("nothing is known, but %+v", s)
 	}
 }
--- a/server/entry/config.go
+++ b/server/entry/config.go
@@ -107,6 +107,8 @@
 	// OverloadControl applies overload control to all routed requests (package admission). Without it, it applies to the pools whose
 	// backend servers report how long work takes on their machines. Default false.
 	OverloadControl bool
+	// TimedPlacement selects backend servers by expected times instead of loads, in pools with learned rates.
+	TimedPlacement bool
 	// Standings holds the fleet-wide standing of each workspace. If nil, every standing is unknown and counts as 1.
 	Standings Standings
 	// ControlTimeout bounds each call to the control group. Default 3 s, the longest time without a leader.
--- a/server/entry/routed_place.go
+++ b/server/entry/routed_place.go
@@ -48,20 +48,13 @@
 	pool := snap.View.Catalogue.PoolOf(call.service)
 	rq.chooseFirstModel()
 	balanceReq := rq.balanceRequest(pool.Engine, call.model)
-	rows, servers := routableServers(snap, rq, h.boundVersion(rq, snap))
-	if len(rows) == 0 {
-		return nil, h.noServerProblem(snap, rq)
-	}
-	h.setColdRates(snap, rows, pool.ColdPerSecond)
-	h.limitReturning(snap, rows, servers)
-	candidates := h.balance.Candidates(snap.Now, rows, balanceReq)
-	best := balance.Choose(candidates, balanceReq, rq.id)
-	if best < 0 {
-		return nil, problem.New(problem.Overloaded, "each backend server of "+call.service+" is cold").WithRetryAfter(time.Second)
+	servers, candidates, best, p := h.chooseServer(snap, rq, &pool, balanceReq)
+	if p != nil {
+		return nil, p
 	}
 	server := servers[best]
 	h.bindVersion(rq, server, snap.Now)
-	if p := h.decideAt(rq, snap, candidates, rows, best, balanceReq); p != nil {
+	if p := h.decideAt(rq, snap, candidates, servers, best, balanceReq); p != nil {
 		return nil, p
 	}
 	if c := &candidates[best]; !call.controlled && c.Full(balanceReq, call.route.TargetTime()*waitSharePercent/100) {
@@ -131,12 +124,12 @@
 
 // newPlacement returns a placement on the backend server. The request counts as sent there until the placement is released.
 func (h *Handler) newPlacement(rq *request, server *control.BackendServer, balanceReq *balance.Request, coldRate float64) *placement {
-	onFirstByte, onDone := h.balance.RecordSent(time.Now(), server.ID, balanceReq, coldRate)
+	sent := h.balance.Send(time.Now(), server.ID, balanceReq, coldRate)
 	pool := rq.poolName()
 	var once sync.Once
 	release := func() {
 		once.Do(func() {
-			onDone()
+			sent.Ended(time.Now())
 			h.recordRelease(rq)
 			h.queue.WakeFirst(time.Now(), pool)
 			h.controlledQueue.WakeFirst(time.Now(), pool)
@@ -144,7 +137,7 @@
 	}
 	// After a panic the placement is released through the request.
 	rq.releasePlace = release
-	return &placement{server: server, onFirstByte: onFirstByte, release: release}
+	return &placement{server: server, onFirstByte: sent.FirstByte, sent: sent, release: release}
 }
 
 // routableServers returns the backend servers of the request's service that take new work and have the software version that
@@ -174,20 +167,26 @@
 func matchingServers(snap *routing.Snapshot, rq *request, versionMatches func(version string) bool, coldTime time.Duration) ([]balance.Row, []*control.BackendServer) {
 	pool := snap.Fleet.ByService[rq.routed.service]
 	rows, servers := make([]balance.Row, 0, len(pool)), make([]*control.BackendServer, 0, len(pool))
-	fleetAge := snap.Now.Sub(snap.Fleet.ReceivedAt)
 	for _, b := range pool {
-		if !routing.Routable(snap, b) || rq.route.Exclude[b.ID] || !versionMatches(b.SoftwareVersion) {
-			continue
+		if row, ok := matchingRow(snap, rq, b, versionMatches, coldTime); ok {
+			rows, servers = append(rows, row), append(servers, b)
 		}
-		loadAge := b.LoadAge + fleetAge
-		coldFor := max(time.Duration(b.ColdMillis)*time.Millisecond-loadAge, assumedColdTime(b, coldTime, snap.Now), 0)
-		silent := b.Silent || fleetAge > fleet.SilentAfter || !b.StatesCold && loadAge > fleet.SilentAfter
-		rows = append(rows, balance.Row{ID: b.ID, Zone: b.AvailabilityZone, Slots: b.Capacity, Silent: silent, ColdRemaining: coldFor})
-		servers = append(servers, b)
 	}
 	return rows, servers
 }
 
+// matchingRow returns the row of a backend server, or false if it doesn't take the request as new work.
+func matchingRow(snap *routing.Snapshot, rq *request, b *control.BackendServer, versionMatches func(version string) bool, coldTime time.Duration) (balance.Row, bool) {
+	if !routing.Routable(snap, b) || rq.route.Exclude[b.ID] || !versionMatches(b.SoftwareVersion) {
+		return balance.Row{}, false
+	}
+	fleetAge := snap.Now.Sub(snap.Fleet.ReceivedAt)
+	loadAge := b.LoadAge + fleetAge
+	coldFor := max(time.Duration(b.ColdMillis)*time.Millisecond-loadAge, assumedColdTime(b, coldTime, snap.Now), 0)
+	silent := b.Silent || fleetAge > fleet.SilentAfter || !b.StatesCold && loadAge > fleet.SilentAfter
+	return balance.Row{ID: b.ID, Zone: b.AvailabilityZone, Slots: b.Capacity, Silent: silent, ColdRemaining: coldFor}, true
+}
+
 // assumedColdTime returns how long a backend server is assumed to stay cold that has not announced itself since its row was
 // restored from the record of an earlier leader, which has no cold times. The announcement follows within seconds.
 func assumedColdTime(b *control.BackendServer, coldTime time.Duration, now time.Time) time.Duration {
@@ -205,6 +204,7 @@
 	return &balance.Request{
 		PromptTokens: c.PromptTokens, Model: model, Parts: c.Parts, Zone: rq.zone,
 		ModelRank: rank, ModelCount: len(c.route.Models), TimeRatio: timeRatio,
+		Pool: c.service, Kind: c.route.Name + "/" + model, TargetTime: c.route.TargetTime(), EventGap: c.route.TargetGap(),
 	}
 }
 
@@ -225,53 +225,6 @@
 	return max(slices.Index(route.Models, name), 0), model.CostPerThousandTokens / highestCost
 }
 
-// chooseFirstModel chooses the smallest model when the route and the caller leave the choice to the router.
-func (rq *request) chooseFirstModel() {
-	if call := rq.routed; len(call.route.Models) > 0 && call.model == "" && call.Model == "" {
-		call.model = call.route.Models[0]
-	}
-}
-
-// lowConfidenceShare is the share of the retry budget that may be spent on larger models after an answer of low confidence.
-// The rest is left for failures.
-const lowConfidenceShare = 0.92
-
-// chooseLargerModel returns the model to repeat the request with when the confidence of the answer is too low, or an empty
-// string when the answer is to be delivered. It never replaces an answer that the caller already has a part of. It takes the
-// retry from the retry budget.
-func (h *Handler) chooseLargerModel(rq *request, confidence int) string {
-	call := rq.routed
-	models := call.route.Models
-	if confidence < 0 || confidence >= h.cfg.SureConfidence || call.answerStarted || len(models) == 0 || call.model == models[len(models)-1] ||
-		rq.countedAttempts >= rq.maxAttempts() {
-		return ""
-	}
-	larger := models[balance.NextModel(slices.Index(models, call.model), len(models), confidence, h.cfg.SureConfidence)]
-	pressure, balanceReq := h.modelPressure(rq, larger)
-	if threshold := balance.RequiredConfidence(h.cfg.SureConfidence, pressure, balanceReq); confidence >= threshold {
-		h.cfg.Log.Info("larger_model_busy", "request", rq.id, "confidence", confidence, "sure", threshold, "pressure", pressure,
-			"prompt_tokens", balanceReq.PromptTokens)
-		return ""
-	}
-	if !h.routedBudget(call.service).TryRetryWithinShare(time.Now(), lowConfidenceShare) {
-		h.cfg.Log.Info("larger_model_over_budget", "request", rq.id, "confidence", confidence)
-		return ""
-	}
-	return larger
-}
-
-// modelPressure returns how busy the backend servers are that can run the request with the model, in units of load, and the
-// result of balanceRequest for the model. The pressure is 0 if the view is too old.
-func (h *Handler) modelPressure(rq *request, model string) (float64, *balance.Request) {
-	snap, p := h.routingSnapshot()
-	if p != nil {
-		return 0, rq.balanceRequest(nil, model)
-	}
-	balanceReq := rq.balanceRequest(snap.View.Catalogue.PoolOf(rq.routed.service).Engine, model)
-	rows, _ := routableServers(snap, rq, h.boundVersion(rq, snap))
-	return balance.GroupPressure(h.balance.Candidates(snap.Now, rows, balanceReq), balanceReq), balanceReq
-}
-
 // routedBudget returns the retry budget of a service.
 func (h *Handler) routedBudget(service string) *retry.Budget {
 	h.budgetMu.Lock()
