--- a/server/balance/pool.go
+++ b/server/balance/pool.go
@@ -181,6 +181,7 @@
 func (s *serverState) expect(now time.Time, r *Request, slots int, meanTokens float64, c *Candidate) {
 	c.WorkPercent = s.lastReport.WorkPercent
 	if s.pool.usualPlacement {
+		c.Load, c.QueuedTokens = s.estimateLoad(now, slots), s.estimateQueue(now, meanTokens)
 		if s.lastReport.Slots > 0 {
 			slots = s.lastReport.Slots
 		}
--- a/server/entry/rates_test.go
+++ b/server/entry/rates_test.go
@@ -34,7 +34,7 @@
 				streamEvents(3, nil)(w, r)
 			}
 		}
-		s := newHarness(func(c *entry.Config) { c.Dialect = loadDialect{entry.NativeDialect()} })
+		s := newHarness(func(c *entry.Config) { c.Dialect, c.TimedPlacement = loadDialect{entry.NativeDialect()}, true })
 		s.setRoute(catalogue.Route{Kind: kind, MaxAttempts: 2, TargetMillis: 1000, TargetGapMillis: 500})
 		s.addServers("v1", newBackend("fast", serve(2*time.Millisecond)), newBackend("slow", serve(30*time.Millisecond)))
 		for range 80 {
