--- a/server/entry/rates_test.go
+++ b/server/entry/rates_test.go
@@ -40,7 +40,9 @@
 		for range 80 {
 			Expect(send(s.request("POST", "/r/x", "body")).status).To(Equal(http.StatusOK))
 		}
-		value := func(server string) float64 { return counterValue(s, "clementinetray_entry_server_relative_time", server) }
+		value := func(server string) float64 {
+			return counterValue(s, "clementinetray_entry_server_relative_time", server)
+		}
 		if !learned {
 			Expect(value("fast") + value("slow")).To(BeZero())
 			return
