--- a/server/entry/admission_internal_test.go
+++ b/server/admission/snapshot_test.go
@@ -1,4 +1,4 @@
-package entry
+package admission
 
 import (
 	"testing"
@@ -9,7 +9,7 @@
 
 // Guards against a pool that counts as full or idle because of servers of which this instance knows nothing, and against lateness that is
 // decided by another server than the best one.
-func TestPoolState(t *testing.T) {
+func TestSnapshotOf(t *testing.T) {
 	rows := []balance.Row{{Slots: 10}, {Slots: 10}, {Slots: 10}}
 	request := &balance.Request{PromptTokens: 1000, TimeRatio: 1}
 	candidates := []balance.Candidate{
@@ -17,7 +17,7 @@
 		{Load: 0.4, LoadKnown: true, FirstEvent: time.Second},
 		{Load: 0},
 	}
-	s := poolState(candidates, rows, 0, request, time.Second)
+	s := SnapshotOf(candidates, rows, 0, request, time.Second)
 	if !s.Full || s.QueueShare < 0.6 || s.QueueShare > 0.7 || s.FirstEvent != 3*time.Second {
 		t.Errorf("%+v", s)
 	}
@@ -27,13 +27,13 @@
 	if !s.LoadKnown {
 		t.Error("two of three loads are known, but the load of the best one counts as unknown")
 	}
-	if s := poolState(append(candidates[1:2:2], candidates[2], candidates[2]), rows, 0, request, time.Second); s.LoadKnown {
+	if s := SnapshotOf(append(candidates[1:2:2], candidates[2], candidates[2]), rows, 0, request, time.Second); s.LoadKnown {
 		t.Error("one of three loads is known, but the load of the best one counts as known")
 	}
-	if s := poolState(candidates, rows, 2, request, time.Second); s.FirstEvent != time.Second {
+	if s := SnapshotOf(candidates, rows, 2, request, time.Second); s.FirstEvent != time.Second {
 		t.Errorf("nothing is known of the best server, the quickest one takes 1s, but %+v", s)
 	}
-	if s := poolState(candidates[2:], rows[2:], 0, request, time.Second); s.UseKnown || s.Full || s.Queued {
+	if s := SnapshotOf(candidates[2:], rows[2:], 0, request, time.Second); s.UseKnown || s.Full || s.Queued {
 		t.Errorf("nothing is known, but %+v", s)
 	}
 }
