--- a/server/daemon/entry.go
+++ b/server/daemon/entry.go
@@ -53,7 +53,7 @@
 		RoutedRetryRatio: retryBudgetShare * s.RetryRatio, RoutedRetrySlack: retryBudgetShare * s.RetrySlack, SureConfidence: s.SureConfidence,
 		Dialect: adapter.Dialect(), DrainDelay: s.StopGrace * drainDelayPercent / 100, StreamDrainDelay: s.StopGrace * streamDrainDelayPercent / 100,
 		MaxViewAge: s.MaxViewAge, MaxBody: int64(s.MaxBodyBytes), RequestLimit: s.RequestTimeLimit,
-		OverloadControl: overloadControl, Standings: workspaceShares,
+		OverloadControl: overloadControl, TimedPlacement: s.TimedPlacement, Standings: workspaceShares,
 		AnswerBuffer: int64(s.MemoryLimitMB) << 20 / answerBufferDivisor, RequestBuffer: int64(s.MemoryLimitMB) << 20 / requestBufferDivisor,
 	})
 }
--- a/server/settings/settings.go
+++ b/server/settings/settings.go
@@ -87,6 +87,8 @@
 	Contracts []string
 	// OverloadControl applies overload control to all routed requests.
 	OverloadControl bool
+	// TimedPlacement chooses backend servers by learned times instead of load, in pools whose rates are learned.
+	TimedPlacement bool
 	// RevocationLimit is the time within which a revoked key must stop working everywhere; 0 if only MaxViewAge limits it.
 	RevocationLimit time.Duration
 	// StopGrace is the time after SIGTERM after which the platform kills the process; 0 if it never does.
