--- a/server/balance/model.go
+++ b/server/balance/model.go
@@ -1,5 +1,10 @@
 package balance
 
+import (
+	"slices"
+	"time"
+)
+
 // GroupPressure returns the pressure of the group of the request's model: the value at pressurePercentile among the
 // servers with a known load, or 0 without any. In a large fleet an instance knows the load of some servers only; the
 // others are assumed to be as busy.
@@ -60,3 +65,33 @@
 // nearConfidencePercent is the percentage of the required confidence from which the next larger model is likely to reach
 // the required confidence.
 const nearConfidencePercent = 60
+
+// LargestInTime returns the index of the largest model, at most wanted, whose expected time to the first event is no longer than
+// left, or position if no model above it is. A time of 0 is unknown and counts as short enough.
+//
+// Load pattern: long prompts that the largest model reads for longer than callers wait. Their answers would be late, and all
+// streams of the backend server would stall meanwhile.
+func LargestInTime(position, wanted int, left time.Duration, expected func(model int) time.Duration) int {
+	for i := wanted; i > position; i-- {
+		if expected(i) <= left {
+			return i
+		}
+	}
+	return position
+}
+
+// LargestForRank returns the index of the largest model that a request of the rank may run on. ranks are those of the routes that share
+// the models. Where there are minRanksForLimit ranks or more, requests of the least urgent one leave the largest model to the others.
+//
+// Load pattern: many requests of little urgency, whose prompts take so much of the largest model's time that urgent requests on the
+// same backend servers wait for it.
+func LargestForRank(rank int, ranks []int, modelCount int) int {
+	distinct := slices.Compact(slices.Sorted(slices.Values(ranks)))
+	if len(distinct) >= minRanksForLimit && rank >= distinct[len(distinct)-1] {
+		return max(modelCount-2, 0)
+	}
+	return modelCount - 1
+}
+
+// minRanksForLimit is 3, so that of two ranks the second one, which is often that of most requests, keeps all models.
+const minRanksForLimit = 3
--- a/server/balance/tracker.go
+++ b/server/balance/tracker.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"clementinetray/server/serverrate"
 )
 
 const (
@@ -53,6 +55,19 @@
 	notify NotifyFunc
 	// meanTokens is the running mean of uncached prompt tokens per request, in tokens of the slowest model.
 	meanTokens float64
+	options    Options
+	// pools holds the state of each pool, by Request.Pool.
+	pools map[string]*poolState
+}
+
+// Options are the options of a tracker.
+type Options struct {
+	// LearnedRates enables expected times for all pools. Without it, they are enabled for the pools whose servers report their
+	// WorkPercent.
+	LearnedRates bool
+	// UsualPlacement keeps the selection by load in pools with learned rates, so that these give expected times only. Where an
+	// instance sees a small part of a pool's responses, its expected times of single servers are worse than its loads.
+	UsualPlacement bool
 }
 
 type serverState struct {
@@ -82,6 +97,13 @@
 	partSentAt  map[string]time.Time
 	coldLimiter rateLimiter
 	lastUsed    time.Time
+	rate        serverrate.Server
+	// othersPerSlot is the running mean over the server's reportCount last reports of the requests of other instances that run or
+	// wait, for each slot.
+	othersPerSlot float64
+	reportCount   int
+	// pool is nil until the server is first a candidate.
+	pool *poolState
 }
 
 // remoteReport is the number of unread tokens that another entry instance reported.
@@ -105,9 +127,13 @@
 	maxRemoteSenders = 64
 )
 
-// NewTracker returns an empty tracker.
-func NewTracker() *Tracker {
-	return &Tracker{servers: map[string]*serverState{}, byHash: map[uint64]*serverState{}}
+// NewTracker returns an empty tracker with at most one set of options.
+func NewTracker(options ...Options) *Tracker {
+	t := &Tracker{servers: map[string]*serverState{}, byHash: map[uint64]*serverState{}, pools: map[string]*poolState{}}
+	for _, o := range options {
+		t.options = o
+	}
+	return t
 }
 
 // NotifyFunc sends the number of unread tokens that this instance has at a backend server, identified by its Hash, to
@@ -192,34 +218,45 @@
 	defer t.mu.Unlock()
 	out := make([]Candidate, 0, len(rows))
 	servers := make([]*serverState, len(rows))
+	pool := t.poolOf(r.Pool)
 	for i := range rows {
 		servers[i] = t.getOrCreate(rows[i].ID, now)
+		servers[i].join(pool)
 	}
 	mean, keys := meanLatency(servers), partKeys(r)
-	for i, row := range rows {
+	for i := range rows {
 		s := servers[i]
-		c := Candidate{
-			ID: row.ID, Zone: row.Zone, Hash: s.hash, Load: s.estimateLoad(now, row.Slots),
-			QueuedTokens: s.estimateQueue(now, t.meanTokens), Slowness: 1,
-			CachedTokens: s.cachedTokens(now, r, keys), EventInterval: s.recentEventInterval(now), LoadKnown: s.loadKnown(now),
-		}
-		if row.ColdRemaining > 0 {
-			c.Cold, c.ColdReady, c.ColdRate = true, row.ColdRate > 0 && s.coldLimiter.ready(now), row.ColdRate
-		}
-		if now.Before(s.avoidUntil) || row.Silent {
-			c.Penalty = 1
-		}
-		if s.answerCount >= minLatencySamples {
-			c.Latency = time.Duration(s.latencyMillis * float64(time.Millisecond))
-			if mean > 0 {
-				c.Slowness = max(s.latencyMillis/mean, 1)
-			}
+		c := s.candidate(now, &rows[i], r, keys, t.meanTokens)
+		if s.answerCount >= minLatencySamples && mean > 0 {
+			c.Slowness = max(s.latencyMillis/mean, 1)
 		}
 		out = append(out, c)
 	}
 	return out
 }
 
+// candidate returns the candidate for a row without Slowness. keys are the cache keys of the prompt's parts.
+func (s *serverState) candidate(now time.Time, row *Row, r *Request, keys []string, meanTokens float64) Candidate {
+	c := Candidate{
+		ID: row.ID, Zone: row.Zone, Hash: s.hash, Slowness: 1, CachedTokens: s.cachedTokens(now, r, keys), EventInterval: s.recentEventInterval(now), LoadKnown: s.loadKnown(now),
+	}
+	if row.ColdRemaining > 0 {
+		c.Cold, c.ColdReady, c.ColdRate = true, row.ColdRate > 0 && s.coldLimiter.ready(now), row.ColdRate
+	}
+	if now.Before(s.avoidUntil) || row.Silent {
+		c.Penalty = 1
+	}
+	if s.answerCount >= minLatencySamples {
+		c.Latency = time.Duration(s.latencyMillis * float64(time.Millisecond))
+	}
+	if s.pool.learns {
+		s.expect(now, r, row.Slots, meanTokens, &c)
+	} else {
+		c.Load, c.QueuedTokens = s.estimateLoad(now, row.Slots), s.estimateQueue(now, meanTokens)
+	}
+	return c
+}
+
 // loadKnown reports whether the instance has a recent load report or stream event of the server.
 func (s *serverState) loadKnown(now time.Time) bool {
 	return now.Sub(s.lastReport.At) <= maxReportAge || now.Sub(s.lastEvent) <= maxReportAge
@@ -281,45 +318,6 @@
 	return tokens
 }
 
-// RecordSent records that a request is sent to the backend server. coldRate is the server's ColdRate if it is cold,
-// else 0. The caller calls onFirstByte when the first byte of the answer arrives and onEnd when the attempt ends. Both
-// may be called repeatedly.
-func (t *Tracker) RecordSent(now time.Time, id string, r *Request, coldRate float64) (onFirstByte, onEnd func()) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.getOrCreate(id, now)
-	s.running++
-	keys := partKeys(r)
-	uncached := r.newTokens(s.cachedTokens(now, r, keys))
-	s.queuedTokens += uncached
-	s.waiting++
-	t.meanTokens += requestWeight * (uncached - t.meanTokens)
-	if coldRate > 0 {
-		s.coldLimiter.consume(now, coldRate)
-	}
-	s.recordParts(now, keys)
-	t.notifyLocked(s)
-	var firstByteOnce, endOnce sync.Once
-	onFirstByte = func() {
-		firstByteOnce.Do(func() {
-			t.mu.Lock()
-			defer t.mu.Unlock()
-			s.queuedTokens -= uncached
-			s.waiting--
-			t.notifyLocked(s)
-		})
-	}
-	onEnd = func() {
-		onFirstByte()
-		endOnce.Do(func() {
-			t.mu.Lock()
-			defer t.mu.Unlock()
-			s.running--
-		})
-	}
-	return onFirstByte, onEnd
-}
-
 // partKeys returns the cache keys of the prompt's parts, which include the model, as engines cache parts for each
 // model.
 func partKeys(r *Request) []string {
@@ -352,6 +350,7 @@
 	defer t.mu.Unlock()
 	s := t.getOrCreate(id, report.At)
 	s.lastReport, s.ownRunningAtReport, s.ownWaitingAtReport = report, s.running, s.waiting
+	s.recordReport()
 }
 
 // RecordLatency records the time from dispatch to the first byte of an answer.
@@ -373,6 +372,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.getOrCreate(id, now)
+	s.recordEventInterval(now, interval)
+}
+
+func (s *serverState) recordEventInterval(now time.Time, interval time.Duration) {
 	s.eventInterval += time.Duration(eventWeight * float64(interval-s.eventInterval))
 	s.lastEvent = now
 }
--- a/server/entry/routed_place.go
+++ b/server/entry/routed_place.go
@@ -14,14 +14,12 @@
 	"clementinetray/server/balance"
 	"clementinetray/server/blackboard"
 	"clementinetray/server/fleet"
-	"clementinetray/server/limits"
 	"clementinetray/server/retry"
 	"clementinetray/server/routing"
 )
 
-// tryPlaceRouted chooses a backend server for a routed request, or returns why none can take it now. waiting is nil for a
-// request that isn't in the queue yet.
-func (h *Handler) tryPlaceRouted(ctx context.Context, rq *request, waiting *waiter) (*placement, *problem.Problem) {
+// tryPlaceRouted chooses a backend server for a routed request, or returns why none can take it now.
+func (h *Handler) tryPlaceRouted(ctx context.Context, rq *request, waiting *wait) (*placement, *problem.Problem) {
 	snap, p := h.routingSnapshot()
 	if p != nil {
 		return nil, p
@@ -32,31 +30,34 @@
 	if p := h.checkPartQuarantine(rq, snap.Now); p != nil {
 		return nil, p
 	}
-	if waiting != nil && h.queue.isOutranked(waiting, nil) || waiting == nil && h.queue.isOutranked(nil, func() *waiter { return h.newWaiter(rq) }) {
-		return nil, problem.New(problem.Overloaded, "other requests wait for "+rq.poolName()).WithRetryAfter(time.Second)
-	}
 	call := rq.routed
 	rq.noWait = false
+	h.startControl(rq, snap.Now)
+	if !call.controlled && h.isOutranked(rq, waiting) {
+		return nil, problem.New(problem.Overloaded, "other requests wait for "+rq.poolName()).WithRetryAfter(time.Second)
+	}
+	ahead, moreUrgent := h.requestsAhead(rq, waiting, snap.Now)
+	if ahead > 0 {
+		state := h.pools.LastSnapshot(snap.Now, rq.servicePool(), call.route.TargetTime())
+		state.Ahead, state.MoreUrgentAhead, state.Outdated = ahead, moreUrgent, state.Outdated || h.isFleetOutdated(snap)
+		return nil, h.decide(rq, snap.Now, &state)
+	}
 	if call.route = snap.View.Catalogue.FindRoute(call.host, call.path); call.route == nil {
 		return nil, problem.New(problem.NotFound, "the route was removed")
 	}
 	pool := snap.View.Catalogue.PoolOf(call.service)
 	rq.chooseFirstModel()
 	balanceReq := rq.balanceRequest(pool.Engine, call.model)
-	rows, servers := routableServers(snap, rq, h.boundVersion(rq, snap))
-	if len(rows) == 0 {
-		return nil, h.noServerProblem(snap, rq)
-	}
-	h.setColdRates(snap, rows, pool.ColdPerSecond)
-	h.limitReturning(snap, rows, servers)
-	candidates := h.balance.Candidates(snap.Now, rows, balanceReq)
-	best := balance.Choose(candidates, balanceReq, rq.id)
-	if best < 0 {
-		return nil, problem.New(problem.Overloaded, "each backend server of "+call.service+" is cold").WithRetryAfter(time.Second)
+	servers, candidates, best, p := h.chooseServer(snap, rq, &pool, balanceReq)
+	if p != nil {
+		return nil, p
 	}
 	server := servers[best]
 	h.bindVersion(rq, server, snap.Now)
-	if c := &candidates[best]; c.Full(balanceReq, call.route.TargetTime()*waitSharePercent/100) {
+	if p := h.decideAt(rq, snap, candidates, servers, best, balanceReq); p != nil {
+		return nil, p
+	}
+	if c := &candidates[best]; !call.controlled && c.Full(balanceReq, call.route.TargetTime()*waitSharePercent/100) {
 		return nil, problem.New(problem.Overloaded, fmt.Sprintf("each backend server of %s is full, the best one has a load of %.2f and answers in %v",
 			call.service, c.Load, c.Latency)).WithRetryAfter(time.Second)
 	}
@@ -123,18 +124,20 @@
 
 // newPlacement returns a placement on the backend server. The request counts as sent there until the placement is released.
 func (h *Handler) newPlacement(rq *request, server *control.BackendServer, balanceReq *balance.Request, coldRate float64) *placement {
-	onFirstByte, onDone := h.balance.RecordSent(time.Now(), server.ID, balanceReq, coldRate)
+	sent := h.balance.Send(time.Now(), server.ID, balanceReq, coldRate)
 	pool := rq.poolName()
 	var once sync.Once
 	release := func() {
 		once.Do(func() {
-			onDone()
-			h.queue.wakeFirst(pool)
+			sent.Ended(time.Now())
+			h.recordRelease(rq)
+			h.queue.WakeFirst(time.Now(), pool)
+			h.controlledQueue.WakeFirst(time.Now(), pool)
 		})
 	}
 	// After a panic the placement is released through the request.
 	rq.releasePlace = release
-	return &placement{server: server, onFirstByte: onFirstByte, release: release}
+	return &placement{server: server, onFirstByte: sent.FirstByte, sent: sent, release: release}
 }
 
 // routableServers returns the backend servers of the request's service that take new work and have the software version that
@@ -164,20 +167,26 @@
 func matchingServers(snap *routing.Snapshot, rq *request, versionMatches func(version string) bool, coldTime time.Duration) ([]balance.Row, []*control.BackendServer) {
 	pool := snap.Fleet.ByService[rq.routed.service]
 	rows, servers := make([]balance.Row, 0, len(pool)), make([]*control.BackendServer, 0, len(pool))
-	fleetAge := snap.Now.Sub(snap.Fleet.ReceivedAt)
 	for _, b := range pool {
-		if !routing.Routable(snap, b) || rq.route.Exclude[b.ID] || !versionMatches(b.SoftwareVersion) {
-			continue
+		if row, ok := matchingRow(snap, rq, b, versionMatches, coldTime); ok {
+			rows, servers = append(rows, row), append(servers, b)
 		}
-		loadAge := b.LoadAge + fleetAge
-		coldFor := max(time.Duration(b.ColdMillis)*time.Millisecond-loadAge, assumedColdTime(b, coldTime, snap.Now), 0)
-		silent := b.Silent || fleetAge > fleet.SilentAfter || !b.StatesCold && loadAge > fleet.SilentAfter
-		rows = append(rows, balance.Row{ID: b.ID, Zone: b.AvailabilityZone, Slots: b.Capacity, Silent: silent, ColdRemaining: coldFor})
-		servers = append(servers, b)
 	}
 	return rows, servers
 }
 
+// matchingRow returns the row of a backend server, or false if it doesn't take the request as new work.
+func matchingRow(snap *routing.Snapshot, rq *request, b *control.BackendServer, versionMatches func(version string) bool, coldTime time.Duration) (balance.Row, bool) {
+	if !routing.Routable(snap, b) || rq.route.Exclude[b.ID] || !versionMatches(b.SoftwareVersion) {
+		return balance.Row{}, false
+	}
+	fleetAge := snap.Now.Sub(snap.Fleet.ReceivedAt)
+	loadAge := b.LoadAge + fleetAge
+	coldFor := max(time.Duration(b.ColdMillis)*time.Millisecond-loadAge, assumedColdTime(b, coldTime, snap.Now), 0)
+	silent := b.Silent || fleetAge > fleet.SilentAfter || !b.StatesCold && loadAge > fleet.SilentAfter
+	return balance.Row{ID: b.ID, Zone: b.AvailabilityZone, Slots: b.Capacity, Silent: silent, ColdRemaining: coldFor}, true
+}
+
 // assumedColdTime returns how long a backend server is assumed to stay cold that has not announced itself since its row was
 // restored from the record of an earlier leader, which has no cold times. The announcement follows within seconds.
 func assumedColdTime(b *control.BackendServer, coldTime time.Duration, now time.Time) time.Duration {
@@ -195,6 +204,7 @@
 	return &balance.Request{
 		PromptTokens: c.PromptTokens, Model: model, Parts: c.Parts, Zone: rq.zone,
 		ModelRank: rank, ModelCount: len(c.route.Models), TimeRatio: timeRatio,
+		Pool: c.service, Kind: c.route.Name + "/" + model, TargetTime: c.route.TargetTime(), EventGap: c.route.TargetGap(),
 	}
 }
 
@@ -215,53 +225,6 @@
 	return max(slices.Index(route.Models, name), 0), model.CostPerThousandTokens / highestCost
 }
 
-// chooseFirstModel chooses the smallest model when the route and the caller leave the choice to the router.
-func (rq *request) chooseFirstModel() {
-	if call := rq.routed; len(call.route.Models) > 0 && call.model == "" && call.Model == "" {
-		call.model = call.route.Models[0]
-	}
-}
-
-// lowConfidenceShare is the share of the retry budget that may be spent on larger models after an answer of low confidence.
-// The rest is left for failures.
-const lowConfidenceShare = 0.92
-
-// chooseLargerModel returns the model to repeat the request with when the confidence of the answer is too low, or an empty
-// string when the answer is to be delivered. It never replaces an answer that the caller already has a part of. It takes the
-// retry from the retry budget.
-func (h *Handler) chooseLargerModel(rq *request, confidence int) string {
-	call := rq.routed
-	models := call.route.Models
-	if confidence < 0 || confidence >= h.cfg.SureConfidence || call.answerStarted || len(models) == 0 || call.model == models[len(models)-1] ||
-		rq.countedAttempts >= rq.maxAttempts() {
-		return ""
-	}
-	larger := models[balance.NextModel(slices.Index(models, call.model), len(models), confidence, h.cfg.SureConfidence)]
-	pressure, balanceReq := h.modelPressure(rq, larger)
-	if threshold := balance.RequiredConfidence(h.cfg.SureConfidence, pressure, balanceReq); confidence >= threshold {
-		h.cfg.Log.Info("larger_model_busy", "request", rq.id, "confidence", confidence, "sure", threshold, "pressure", pressure,
-			"prompt_tokens", balanceReq.PromptTokens)
-		return ""
-	}
-	if !h.routedBudget(call.service).TryRetryWithinShare(time.Now(), lowConfidenceShare) {
-		h.cfg.Log.Info("larger_model_over_budget", "request", rq.id, "confidence", confidence)
-		return ""
-	}
-	return larger
-}
-
-// modelPressure returns how busy the backend servers are that can run the request with the model, in units of load, and the
-// result of balanceRequest for the model. The pressure is 0 if the view is too old.
-func (h *Handler) modelPressure(rq *request, model string) (float64, *balance.Request) {
-	snap, p := h.routingSnapshot()
-	if p != nil {
-		return 0, rq.balanceRequest(nil, model)
-	}
-	balanceReq := rq.balanceRequest(snap.View.Catalogue.PoolOf(rq.routed.service).Engine, model)
-	rows, _ := routableServers(snap, rq, h.boundVersion(rq, snap))
-	return balance.GroupPressure(h.balance.Candidates(snap.Now, rows, balanceReq), balanceReq), balanceReq
-}
-
 // routedBudget returns the retry budget of a service.
 func (h *Handler) routedBudget(service string) *retry.Budget {
 	h.budgetMu.Lock()
@@ -277,23 +240,14 @@
 	return b
 }
 
-// newRoutedWaiter returns the request's entry for the queue of waiting requests.
-func (h *Handler) newRoutedWaiter(rq *request) *waiter {
-	name, weight := rq.workspaceName(), 0.0
-	if w := rq.route.Workspace; w != nil {
-		weight = w.Weight
-	}
-	return &waiter{
-		QueuedRequest: limits.QueuedRequest{Priority: rq.priority(), Use: float64(h.runningByWorkspace.get(name)), Weight: weight, Since: time.Now()},
-		pool:          rq.poolName(), wake: make(chan struct{}, 1), refused: make(chan struct{}),
-	}
-}
-
 // waitDeadline returns the time until which the request may wait for a backend server. reason is why it has none now. Before
 // the first attempt the wait is at most waitSharePercent of the route's target time, so that a refused caller has time to
 // retry.
 func (rq *request) waitDeadline(began time.Time, reason problem.Reason) time.Time {
 	call := rq.routed
+	if call.controlled && reason == problem.Overloaded && !call.decision.Until.IsZero() {
+		return call.decision.Until
+	}
 	wait := time.Until(call.deadline) / 2
 	if reason == problem.NoBackendServer && call.failureAnswer != nil {
 		// There is a failure answer to deliver and no backend server left that could give a better one.
--- a/server/entry/routed_run.go
+++ b/server/entry/routed_run.go
@@ -19,10 +19,12 @@
 			h.endRouted(ctx, w, rq, p)
 			return
 		}
+		h.meterPlacement(rq)
 		f := h.attemptRouted(ctx, w, rq, placed)
 		if f == nil {
 			return
 		}
+		h.meterFailure(rq, f)
 		if p := h.checkRoutedRetry(ctx, rq, placed.server, f); p != nil {
 			h.endRouted(ctx, w, rq, p)
 			return
@@ -58,10 +60,14 @@
 	h.balance.RecordLatency(time.Now(), x.server.ID, time.Since(x.began))
 	if x.answerMetadata.LoadKnown {
 		h.balance.RecordLoad(x.server.ID, x.answerMetadata.Load)
+		h.recordLoad(rq, x.answerMetadata.Load)
 	}
 	if f := x.checkRoutedAnswer(); f != nil {
 		return f
 	}
+	if !x.isStream() && x.response.StatusCode < http.StatusInternalServerError {
+		x.sent.FirstEvent(time.Now())
+	}
 	if largerModel := h.chooseLargerModel(rq, x.answerMetadata.Confidence); largerModel != "" {
 		x.countDroppedAnswer()
 		h.rememberDropped(x)
@@ -69,12 +75,17 @@
 		call.model = largerModel
 		return f
 	}
-	if call.route.Kind == catalogue.KindStream && x.response.StatusCode == http.StatusOK {
+	if x.isStream() {
 		return h.relayStream(w, x)
 	}
 	return h.relayWhole(w, x)
 }
 
+// isStream reports whether the answer is a stream of events.
+func (x *exchange) isStream() bool {
+	return x.rq.routed.route.Kind == catalogue.KindStream && x.response.StatusCode == http.StatusOK
+}
+
 // checkRoutedAnswer returns a failure if the answer must not be relayed or another backend server may give a better one, else
 // nil.
 func (x *exchange) checkRoutedAnswer() *attemptError {
@@ -182,6 +193,8 @@
 func (h *Handler) endRouted(ctx context.Context, w http.ResponseWriter, rq *request, p *problem.Problem) {
 	call := rq.routed
 	h.logRefusal(rq, p)
+	h.meterRefusal(rq, p)
+	h.recordNotServed(rq, ctx.Err() != nil && context.Cause(ctx) == context.Canceled)
 	switch {
 	case call.answerStarted:
 		// Part of the answer was delivered. Only an aborted connection shows the caller that it is incomplete.
@@ -221,6 +234,7 @@
 	h.countRoutedAnswer(x, time.Since(x.began))
 	h.metrics.firstTokenSeconds.Observe(time.Since(x.rq.start).Seconds())
 	h.logAnswer(x, "answered")
+	h.recordFirstEvent(x.rq)
 	h.writeRoutedAnswer(w, x.rq, &answer{status: x.response.StatusCode, header: x.response.Header, body: body})
 	return nil
 }
