--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -73,6 +73,9 @@
 	// MemoryLimitMB is the setting instance.memory_limit_mb, StopGrace the setting entry.stop_grace. Zero leaves them out.
 	MemoryLimitMB int
 	StopGrace     time.Duration
+	// UseReadiness sets listen.readiness. ExtraSettings holds further sections of the settings files as INI text.
+	UseReadiness  bool
+	ExtraSettings string
 }
 
 // Instance is one daemon and its files.
@@ -81,8 +84,10 @@
 	AvailabilityZone string
 	// Control says whether the instance has the role control.
 	Control bool
-	// Addresses of the listeners as host:port. Operators is in use on control instances only.
+	// Addresses of the listeners as host:port. Operators is in use on control instances only, Readiness with
+	// Config.UseReadiness only.
 	Callers       string
+	Readiness     string
 	Operators     string
 	Peers         string
 	Announcements string
@@ -140,7 +145,7 @@
 	address := func(port int) string { return fmt.Sprintf("%s.%d:%d", s.network, number+1, port) }
 	return &Instance{
 		ID: id, AvailabilityZone: s.config.Zones[number%len(s.config.Zones)], Control: number < s.config.ControlCount,
-		Callers: address(8001), Operators: address(8002), Peers: address(8003), Announcements: address(8004), Metrics: address(8005),
+		Callers: address(8001), Operators: address(8002), Peers: address(8003), Announcements: address(8004), Metrics: address(8005), Readiness: address(8006),
 		DataDir: filepath.Join(dir, "data"), Settings: filepath.Join(dir, "settings.ini"), LogFile: filepath.Join(dir, "log"),
 		links: map[string]*link.Link{},
 	}, nil
@@ -164,6 +169,7 @@
 announcements = {{.I.Announcements}}
 metrics = {{.I.Metrics}}
 {{if .I.Control}}operators = {{.I.Operators}}{{end}}
+{{if .UseReadiness}}readiness = {{.I.Readiness}}{{end}}
 [control]
 replicas = {{.Replicas}}
 bootstrap = {{.Bootstrap}}
@@ -176,6 +182,7 @@
 {{if .StopGrace}}stop_grace = {{.StopGrace}}{{end}}
 {{if .RatingURL}}[platform]
 rating_url = {{.RatingURL}}{{end}}
+{{.ExtraSettings}}
 `))
 
 // WriteSettings writes the settings file of an instance. With bootstrap, a control instance with an empty data folder
@@ -190,6 +197,7 @@
 		"I": instance, "Replicas": replicas, "Bootstrap": bootstrap && instance.Control, "Secret": s.secretFile(),
 		"Token": Hash(OperatorToken), "MaxViewAge": s.config.MaxViewAge, "MaxEntries": max(9, len(s.Instances)),
 		"RatingURL": s.config.RatingURL, "MemoryLimitMB": s.config.MemoryLimitMB, "StopGrace": s.config.StopGrace,
+		"UseReadiness": s.config.UseReadiness, "ExtraSettings": s.config.ExtraSettings,
 	})
 	if err != nil {
 		return Error.Wrap(err)
