Bounds on clients over all connections of every listener

Cause: no listener bounded its connections, its header bytes (net/http accepts 1 MiB of each) or the progress of bodies and answers. Request bodies up to 32 KiB counted toward no budget, the bodies of operators toward none at all, and the decoded form of JSON had no bound.

Change: - server/connlimit decides without I/O which connection is closed at the limit: the longest waiting one without a complete request, of the source address with most of them. Each listener keeps an eighth of the total. - server/callerconn: a Guard for all listeners, also that of peers. Connections, header bytes and fields are reserved before they are read; a body and an answer need a minimum of progress. A request that is answered before a large body was read ends its connection without waiting for it. - server/entry: small request bodies count; an eighth of the budget is kept for them. server/jsonbound bounds the values and depth of JSON before it is decoded, for chat requests, the operator API and the platform's documents. - Settings: section [clients] and instance.descriptor_limit. - Metrics clementinetray_client_limits_total and clementinetray_connections, log line client_limits at most every 5 s.

The floods' settings now state the descriptor limit of 600.

--- a/server/callerconn/callerconn_test.go
+++ b/server/callerconn/callerconn_test.go
@@ -41,7 +41,7 @@
 			}
 			_, _ = w.Write(body)
 		})}
-		bounded := callerconn.ApplyLimits(server, l, func() callerconn.Limits { return *limits.Load() })
+		bounded := callerconn.NewGuard(callerconn.Config{}).Protect(server, l, "callers", func() callerconn.Limits { return *limits.Load() })
 		go func() { _ = server.Serve(bounded) }()
 		DeferCleanup(server.Close)
 	})
--- a/server/controlsvc/operator.go
+++ b/server/controlsvc/operator.go
@@ -23,6 +23,7 @@
 	"clementinetray/api/event"
 	"clementinetray/api/problem"
 	"clementinetray/server/controlstate"
+	"clementinetray/server/jsonbound"
 	"clementinetray/server/replica"
 )
 
@@ -134,6 +135,10 @@
 		problem.New(problem.InvalidRequest, "the body can't be read: "+err.Error()).Write(w)
 		return
 	}
+	if _, err := jsonbound.Check(body, s.JSONLimits); err != nil {
+		problem.New(problem.InvalidRequest, err.Error()).Write(w)
+		return
+	}
 	l, _ := s.Log.LeadershipChanged()
 	if l.Leader {
 		r.Body = io.NopCloser(bytes.NewReader(body))
--- a/server/controlsvc/service.go
+++ b/server/controlsvc/service.go
@@ -14,6 +14,7 @@
 	"clementinetray/server/controlclient"
 	"clementinetray/server/controlstate"
 	"clementinetray/server/fleet"
+	"clementinetray/server/jsonbound"
 	"clementinetray/server/replica"
 )
 
@@ -49,6 +50,8 @@
 type Config struct {
 	Log   replica.Log
 	State *controlstate.State
+	// JSONLimits bound the decoded form of an operator's request. Default unlimited.
+	JSONLimits jsonbound.Limits
 	// Proposer commits the commands of the service and of the leader controllers.
 	Proposer          Proposer
 	Allocator         Allocator
--- a/server/daemon/adapter.go
+++ b/server/daemon/adapter.go
@@ -7,6 +7,7 @@
 
 	"clementinetray/api/control"
 	"clementinetray/server/entry"
+	"clementinetray/server/jsonbound"
 )
 
 // Adapter translates between the interfaces of a platform and those of the router. It keeps no state and makes no
@@ -26,7 +27,9 @@
 	Operators func(ctx context.Context, method, target string, body []byte) (int, []byte)
 	// Announce passes announcements and deregistrations of backend servers on to the control leader.
 	Announce func(ctx context.Context, in *control.AnnounceRequest) error
-	Log      *slog.Logger
+	// JSONLimits bound the decoded form of a request's body.
+	JSONLimits jsonbound.Limits
+	Log        *slog.Logger
 }
 
 // noAdapter is the adapter of a router that serves its own interfaces.
--- /dev/null
+++ b/server/daemon/clientlimits_test.go
@@ -0,0 +1,20 @@
+package daemon
+
+import "testing"
+
+// Guards against defaults that take more descriptors or memory than the machine leaves, or that ordinary callers reach.
+func TestDefaultConnections(t *testing.T) {
+	for _, c := range []struct{ descriptors, memoryMB, least, most int }{
+		{3075, 112, 1000, (3075 - 200) / 2},
+		{4100, 134, 1900, (4100 - 200) / 2},
+		{10250, 424, 4000, (10250 - 200) / 2},
+		{0, 0, maxDefaultConnections, maxDefaultConnections},
+		{1 << 20, 0, maxDefaultConnections, maxDefaultConnections},
+		{100, 112, 16, 16},
+	} {
+		got := defaultConnections(c.descriptors, c.memoryMB)
+		if got < c.least || got > c.most {
+			t.Errorf("%d descriptors, %d MB: %d connections, want %d to %d", c.descriptors, c.memoryMB, got, c.least, c.most)
+		}
+	}
+}
--- a/server/daemon/container.go
+++ b/server/daemon/container.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"log/slog"
+	"net"
 	"os"
 	"runtime/debug"
 	"time"
@@ -15,6 +16,7 @@
 	"clementinetray/api/control"
 	"clementinetray/api/event"
 	"clementinetray/server/blackboard"
+	"clementinetray/server/callerconn"
 	"clementinetray/server/controlclient"
 	"clementinetray/server/logging"
 	"clementinetray/server/peer"
@@ -34,7 +36,7 @@
 	constructors := []any{
 		func() *settings.Settings { return s },
 		func() Adapter { return adapter },
-		newLogWriter, newLogger, newIdentity, newSecret, newPeerPool, newPeerServer, newTimelineRing, newRegistry, newControlClient, newMember,
+		newLogWriter, newLogger, newIdentity, newSecret, newPeerPool, newPeerServer, newGuard, newTimelineRing, newRegistry, newControlClient, newMember,
 		blackboard.New,
 		func() *event.Clock { return &event.Clock{} },
 		func(ring *timeline.Ring) event.Recorder { return ring },
@@ -109,11 +111,14 @@
 
 func newPeerPool(key secret) *peer.Pool { return peer.NewPool(key, dialTimeout) }
 
-func newPeerServer(s *settings.Settings, key secret, ring *timeline.Ring, log *slog.Logger) (*peer.Server, error) {
+func newPeerServer(
+	s *settings.Settings, key secret, ring *timeline.Ring, guard *callerconn.Guard, log *slog.Logger,
+) (*peer.Server, error) {
 	server, err := peer.Listen(s.PeerListen, key, log)
 	if err != nil {
 		return nil, err
 	}
+	server.WrapListener(func(l net.Listener) net.Listener { return guard.Listen(l, "peers") })
 	return server, server.Register(timeline.ServiceName, timeline.NewService(ring))
 }
 
--- a/server/daemon/control.go
+++ b/server/daemon/control.go
@@ -162,6 +162,6 @@
 		ServiceRollouts:   serviceRollouts,
 		LeaderControllers: []controlsvc.LeaderController{lifecycles, modelRollouts, serviceRollouts, fleetRatings, engineOrders, fleetRecorder},
 		Recorder:          recorder, Clock: clock, Peers: pool, Identity: identity, PeerAddress: s.PeerAdvertise, Logger: logger,
-		ToleratedLosses: s.ToleratedLosses,
+		ToleratedLosses: s.ToleratedLosses, JSONLimits: jsonLimits(s),
 	})
 }
--- a/server/daemon/daemon.go
+++ b/server/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"clementinetray/api/event"
 	"clementinetray/server/announce"
 	"clementinetray/server/blackboard"
+	"clementinetray/server/callerconn"
 	"clementinetray/server/controlclient"
 	"clementinetray/server/controlsvc"
 	"clementinetray/server/entry"
@@ -70,6 +71,7 @@
 	LogLines *logging.Writer
 	Recorder event.Recorder
 	Peers    *peer.Server
+	Guard    *callerconn.Guard
 	Pool     *peer.Pool
 	Board    *blackboard.Board
 	Registry *prometheus.Registry
--- a/server/daemon/entry.go
+++ b/server/daemon/entry.go
@@ -44,7 +44,7 @@
 		RatingURL: s.RatingURL, OnRating: newRatingCallback(estimator),
 		RoutedRetryRatio: retryBudgetShare * s.RetryRatio, RoutedRetrySlack: retryBudgetShare * s.RetrySlack, SureConfidence: s.SureConfidence,
 		Dialect: adapter.Dialect(), DrainDelay: s.StopGrace * drainDelayPercent / 100, StreamDrainDelay: s.StopGrace * streamDrainDelayPercent / 100,
-		MaxViewAge: s.MaxViewAge, MaxBody: int64(s.MaxBodyBytes), RequestLimit: s.RequestTimeLimit,
+		MaxViewAge: s.MaxViewAge, MaxBody: int64(s.MaxBodyBytes), RequestLimit: s.RequestTimeLimit, JSONLimits: jsonLimits(s),
 		AnswerBuffer: int64(s.MemoryLimitMB) << 20 / answerBufferDivisor, RequestBuffer: int64(s.MemoryLimitMB) << 20 / requestBufferDivisor,
 	})
 }
--- a/server/daemon/listen.go
+++ b/server/daemon/listen.go
@@ -37,23 +37,24 @@
 		if err := d.startCallerServer(d.Settings.CallerListen, callers); err != nil {
 			return err
 		}
-		if err := d.startServer(d.Settings.ReadinessListen, d.Adapter.Readiness(http.HandlerFunc(d.serveReady))); err != nil {
+		if err := d.startServer("readiness", d.Settings.ReadinessListen, d.Adapter.Readiness(http.HandlerFunc(d.serveReady))); err != nil {
 			return err
 		}
 	}
 	if d.service != nil {
-		if err := d.startServer(d.Settings.OperatorListen, d.operatorHandler()); err != nil {
+		if err := d.startServer("operators", d.Settings.OperatorListen, d.operatorHandler()); err != nil {
 			return err
 		}
 	}
-	if err := d.startServer(d.Settings.AnnounceListen, d.Announce); err != nil {
+	if err := d.startServer("announcements", d.Settings.AnnounceListen, d.Announce); err != nil {
 		return err
 	}
-	return d.startServer(d.Settings.MetricsListen, d.metricsHandler())
+	return d.startServer("metrics", d.Settings.MetricsListen, d.metricsHandler())
 }
 
-// startServer listens on address and serves handler in the background. It does nothing when address is empty.
-func (d *daemon) startServer(address string, handler http.Handler) error {
+// startServer listens on address and serves handler in the background. name is the listener's in metrics. It does nothing when
+// address is empty.
+func (d *daemon) startServer(name, address string, handler http.Handler) error {
 	if address == "" {
 		return nil
 	}
@@ -61,7 +62,8 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	d.runServer(&http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}, l)
+	server := &http.Server{Addr: address, Handler: handler}
+	d.runServer(server, d.Guard.Protect(server, l, name, defaultTimeouts))
 	return nil
 }
 
@@ -72,13 +74,17 @@
 		return Error.Wrap(err)
 	}
 	server := &http.Server{Addr: address, Handler: handler}
-	d.runServer(server, callerconn.ApplyLimits(server, l, d.callerTimeouts))
+	d.runServer(server, d.Guard.Protect(server, l, callerconn.CallerListener, d.callerTimeouts))
 	return nil
 }
 
+func defaultTimeouts() callerconn.Limits {
+	return callerconn.Limits{HeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+}
+
 // callerTimeouts returns the timeouts of callers' connections: those that the current catalogue sets, else the defaults.
 func (d *daemon) callerTimeouts() callerconn.Limits {
-	limits := callerconn.Limits{HeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	limits := defaultTimeouts()
 	view := d.Board.View.Load()
 	if view.View == nil || view.Catalogue == nil {
 		return limits
@@ -158,7 +164,7 @@
 	if d.Settings.Adapter == "" {
 		return d.service.OperatorHandler([]string{d.Settings.OperatorTokenSHA256})
 	}
-	return d.Adapter.Control(ControlAPI{Operators: d.service.CallOperatorAPI, Announce: announce.NewBatcher(d.Client).Announce, Log: d.Logger})
+	return d.Adapter.Control(ControlAPI{Operators: d.service.CallOperatorAPI, Announce: announce.NewBatcher(d.Client).Announce, JSONLimits: jsonLimits(d.Settings), Log: d.Logger})
 }
 
 func (d *daemon) metricsHandler() http.Handler {
--- a/server/entry/bytebudget.go
+++ b/server/entry/bytebudget.go
@@ -13,7 +13,17 @@
 // the instance.
 type byteBudget struct {
 	limit int64
-	used  atomic.Int64
+	// countSmall makes what is up to uncountedBytes count too, and keeps a part of the limit for it.
+	countSmall bool
+	used       atomic.Int64
+}
+
+// largeLimit returns the part of the limit that is open to what is over uncountedBytes.
+func (b *byteBudget) largeLimit() int64 {
+	if b.countSmall {
+		return b.limit - b.limit/smallShare
+	}
+	return b.limit
 }
 
 // errBufferFull means that the bytes of an answer or body have no room.
@@ -22,8 +32,13 @@
 const (
 	// bufferStep is the number of bytes that a bufferShare takes at a time.
 	bufferStep = 64 << 10
-	// uncountedBytes is the size up to which an answer or body is not counted: that of nearly all.
+	// uncountedBytes is the size up to which an answer is not counted: that of nearly all.
 	uncountedBytes = 32 << 10
+	// smallStep is the number of bytes that a bufferShare takes at a time up to uncountedBytes, if these are counted.
+	smallStep = 4 << 10
+	// smallShare is the divisor of the part that is kept for bodies of up to uncountedBytes, so that ordinary requests are read
+	// while large ones take all that is open to them.
+	smallShare = 8
 )
 
 // bufferShare is the part of a byteBudget that one attempt or request holds. It is not safe for concurrent use.
@@ -34,14 +49,18 @@
 
 // grow makes the share hold at least size bytes. It returns an error if the buffer has no room for that.
 func (s *bufferShare) grow(size int) error {
+	step, limit := int64(bufferStep), s.buffer.largeLimit()
 	if size <= uncountedBytes {
-		return nil
+		if !s.buffer.countSmall {
+			return nil
+		}
+		step, limit = smallStep, s.buffer.limit
 	}
-	missing := (int64(size) - s.held + bufferStep - 1) / bufferStep * bufferStep
+	missing := (int64(size) - s.held + step - 1) / step * step
 	if missing <= 0 {
 		return nil
 	}
-	if s.buffer.used.Add(missing) > s.buffer.limit {
+	if s.buffer.used.Add(missing) > limit {
 		s.buffer.used.Add(-missing)
 		return Error.Wrap(errBufferFull.New("%d bytes are in use", s.buffer.limit))
 	}
@@ -51,7 +70,7 @@
 
 // shrink gives back what the share holds beyond size bytes.
 func (s *bufferShare) shrink(size int) {
-	if size <= uncountedBytes {
+	if size <= uncountedBytes && !s.buffer.countSmall {
 		s.release()
 		return
 	}
@@ -69,11 +88,37 @@
 // readPieces holds buffers of bufferStep bytes.
 var readPieces = sync.Pool{New: func() any { return new([bufferStep]byte) }}
 
+// readSmall reads up to limit bytes, at most uncountedBytes.
+func (s *bufferShare) readSmall(r io.Reader, limit int) ([]byte, error) {
+	if !s.buffer.countSmall {
+		return io.ReadAll(io.LimitReader(r, int64(limit)))
+	}
+	var body []byte
+	for len(body) < limit {
+		if len(body) == cap(body) {
+			size := min(limit, max(smallStep, 2*cap(body)))
+			if err := s.grow(size); err != nil {
+				return nil, err
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err == io.EOF {
+			return body, nil
+		}
+		if err != nil {
+			return body, err
+		}
+	}
+	return body, nil
+}
+
 // readAll reads up to limit bytes into memory that the share accounts for. tooLong is set if there are more. What is over
 // uncountedBytes is read in pieces and joined at the end: a buffer that grows would leave its earlier arrays to the garbage
 // collector, which many large bodies at once would not wait for.
 func (s *bufferShare) readAll(r io.Reader, limit int64) (body []byte, tooLong bool, err error) {
-	body, err = io.ReadAll(io.LimitReader(r, min(limit+1, uncountedBytes)))
+	body, err = s.readSmall(r, int(min(limit+1, uncountedBytes)))
 	if err != nil || len(body) < uncountedBytes {
 		return body, int64(len(body)) > limit, err
 	}
--- a/server/entry/chat.go
+++ b/server/entry/chat.go
@@ -15,6 +15,7 @@
 	"clementinetray/api/catalogue"
 	"clementinetray/api/control"
 	"clementinetray/api/problem"
+	"clementinetray/server/jsonbound"
 )
 
 const (
@@ -52,8 +53,11 @@
 // a backend server.
 const chatCopies = 5
 
+// decodedValueBytes is the memory of a value of a chat request's decoded form: its entry in a map or list and its allocations.
+const decodedValueBytes = 128
+
 // readRequestBody reads a body of at most limit bytes within CallerReadTimeout. The request holds room for that many copies of it until
-// it is closed; without room it is refused.
+// it is closed; without room it is refused. A body with more than one copy is JSON, whose decoded form is bounded too.
 func (h *Handler) readRequestBody(w http.ResponseWriter, r *http.Request, rq *request, limit int64, copies int) ([]byte, *problem.Problem) {
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(h.cfg.CallerReadTimeout))
@@ -62,8 +66,13 @@
 	limited := http.MaxBytesReader(w, r.Body, limit)
 	body, _, err := share.readAll(limited, limit)
 	if err == nil && copies > 1 {
+		values, overLimit := jsonbound.Check(body, h.cfg.JSONLimits)
+		if overLimit != nil {
+			_ = control.SetReadDeadline(time.Time{})
+			return nil, problem.New(problem.InvalidRequest, overLimit.Error()).MarkNotRun()
+		}
 		// A body whose copies would fill the memory alone is served while there is no other.
-		err = share.grow(min(copies*len(body), int(h.requestBuffer.limit-bufferStep)))
+		err = share.grow(min(copies*len(body)+values*decodedValueBytes, int(h.requestBuffer.largeLimit()-bufferStep)))
 	}
 	var tooLarge *http.MaxBytesError
 	switch {
--- a/server/entry/config.go
+++ b/server/entry/config.go
@@ -11,6 +11,7 @@
 	"clementinetray/api/control"
 	"clementinetray/api/event"
 	"clementinetray/server/blackboard"
+	"clementinetray/server/jsonbound"
 	"clementinetray/server/retry"
 )
 
@@ -83,6 +84,8 @@
 	AnswerMemory int64
 	// ResumeGrace is how long a stream keeps running after its caller disconnected, so that the caller can resume it. Default 5 s.
 	ResumeGrace time.Duration
+	// JSONLimits bound the decoded form of a chat request. Default unlimited.
+	JSONLimits jsonbound.Limits
 	// CallerReadTimeout is how long a caller may take to send the request body. Default 30 s.
 	CallerReadTimeout time.Duration
 	// CallerWriteTimeout is how long one write to a caller may block. Default 30 s.
--- a/server/entry/handler.go
+++ b/server/entry/handler.go
@@ -110,6 +110,7 @@
 	}
 	h.drainEnded, h.endDrain = context.WithCancel(context.Background())
 	h.answerBuffer.limit, h.requestBuffer.limit = cfg.AnswerBuffer, cfg.RequestBuffer
+	h.requestBuffer.countSmall = true
 	h.slots = newSlotHolder(&h.cfg)
 	h.finisher = newCallFinisher(&h.cfg)
 	h.ratings = newRater(&h.cfg, m, h.outcomes)
--- a/server/peer/server.go
+++ b/server/peer/server.go
@@ -36,6 +36,10 @@
 	return Error.Wrap(s.rpc.RegisterName(name, receiver))
 }
 
+// WrapListener replaces the listener by what wrap returns for it. It must be called before Serve. A connection with a method
+// Established is told when its client has authenticated.
+func (s *Server) WrapListener(wrap func(net.Listener) net.Listener) { s.listener = wrap(s.listener) }
+
 // Address returns the bound host:port.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
@@ -105,6 +109,9 @@
 		s.mu.Unlock()
 	}()
 	if authenticate(conn, s.secret, 's') == nil {
+		if limited, ok := conn.(interface{ Established() }); ok {
+			limited.Established()
+		}
 		s.rpc.ServeConn(conn)
 	}
 }
--- a/server/settings/fields.go
+++ b/server/settings/fields.go
@@ -112,6 +112,37 @@
 		set: textSetter(func(s *Settings) *string { return &s.WeightStoreURL }, isValidURL)},
 	{Section: "instance", Key: "memory_limit_mb", Allowed: "megabytes, from 32 to 1048576",
 		Use: "memory that the process may use; empty: no limit", set: intSetter(func(s *Settings) *int { return &s.MemoryLimitMB }, 32, 1<<20)},
+	{Section: "instance", Key: "descriptor_limit", Default: "0", Allowed: "a number of descriptors from 300 to 10485760, or 0",
+		Use: "file descriptors that the process may have open; 0: the limit that the process was started with (RLIMIT_NOFILE)",
+		set: zeroOr(intSetter(func(s *Settings) *int { return &s.DescriptorLimit }, 300, 10<<20))},
+	{Section: "clients", Key: "max_connections", Default: "0", Allowed: "a number from 16 to 1000000, or 0",
+		Use: "open connections of all listeners together; 0: half of the descriptors but 200, and at most one for each 64 KiB of memory_limit_mb",
+		set: zeroOr(intSetter(func(s *Settings) *int { return &s.MaxConnections }, 16, 1_000_000))},
+	{Section: "clients", Key: "max_header_bytes", Default: "131072", Allowed: "bytes, from 4096 to 1048576",
+		Use: "largest header of a request; the catalogue may set a smaller one for callers",
+		set: intSetter(func(s *Settings) *int { return &s.MaxHeaderBytes }, 4<<10, 1<<20)},
+	{Section: "clients", Key: "max_header_fields", Default: "4096", Allowed: "a number from 16 to 100000",
+		Use: "lines in the header of a request", set: intSetter(func(s *Settings) *int { return &s.MaxHeaderFields }, 16, 100_000)},
+	{Section: "clients", Key: "header_memory_bytes", Default: "0", Allowed: "bytes, from 65536 to 1073741824, or 0",
+		Use: "memory for all headers together beyond the first 4 KiB and 48 fields of each; 0: a sixteenth of memory_limit_mb, without that 64 MiB",
+		set: zeroOr(intSetter(func(s *Settings) *int { return &s.HeaderMemoryBytes }, 64<<10, 1<<30))},
+	{Section: "clients", Key: "operator_body_bytes", Default: "0", Allowed: "bytes, from 1048576 to 1073741824, or 0",
+		Use: "memory for the request bodies of operators and backend servers together, of which each takes four times its size; 0: a sixth of memory_limit_mb, at least 17 MiB, without that 64 MiB",
+		set: zeroOr(intSetter(func(s *Settings) *int { return &s.OperatorBodyBytes }, 1<<20, 1<<30))},
+	{Section: "clients", Key: "body_progress", Default: "10s", Allowed: "a duration from 1s to 10m",
+		Use: "time after which a request body that is sent at less than min_body_rate is given up",
+		set: durationSetter(func(s *Settings) *time.Duration { return &s.BodyProgress }, time.Second, 10*time.Minute)},
+	{Section: "clients", Key: "min_body_rate", Default: "4096", Allowed: "bytes per second, from 1 to 1048576",
+		Use: "rate at which a request body is never given up for its slowness", set: intSetter(func(s *Settings) *int { return &s.MinBodyRate }, 1, 1<<20)},
+	{Section: "clients", Key: "write_progress", Default: "20s", Allowed: "a duration from 1s to 10m",
+		Use: "time within which a client must accept 16 KiB of an answer", set: durationSetter(func(s *Settings) *time.Duration { return &s.WriteProgress }, time.Second, 10*time.Minute)},
+	{Section: "clients", Key: "socket_buffer_bytes", Default: "131072", Allowed: "bytes, from 4096 to 16777216",
+		Use: "kernel memory for what a connection has received or has still to send, in each direction",
+		set: intSetter(func(s *Settings) *int { return &s.SocketBufferBytes }, 4<<10, 16<<20)},
+	{Section: "clients", Key: "max_json_values", Default: "1000000", Allowed: "a number from 100 to 100000000",
+		Use: "values in a JSON body, those in lists and objects included", set: intSetter(func(s *Settings) *int { return &s.MaxJSONValues }, 100, 100_000_000)},
+	{Section: "clients", Key: "max_json_depth", Default: "200", Allowed: "a number from 10 to 10000",
+		Use: "lists and objects inside of each other in a JSON body", set: intSetter(func(s *Settings) *int { return &s.MaxJSONDepth }, 10, 10_000)},
 	{Section: "log", Key: "lines_per_second", Default: "2000", Allowed: "a number from 10 to 100000",
 		Use: "log lines a second, over which lines are dropped and counted", set: intSetter(func(s *Settings) *int { return &s.LogLinesPerSecond }, 10, 100_000)},
 	{Section: "log", Key: "level", Default: "info", Allowed: "debug, info, warn or error", Use: "least level that is logged",
@@ -167,6 +198,11 @@
 	}
 }
 
+// zeroOr accepts 0 beside what set accepts. It leaves the field at 0.
+func zeroOr(set func(*Settings, string) bool) func(*Settings, string) bool {
+	return func(s *Settings, v string) bool { return v == "0" || set(s, v) }
+}
+
 func parseInto[T any](target *T, v string, parser func(string) (T, error)) bool {
 	value, err := parser(v)
 	*target = value
--- a/server/settings/settings.go
+++ b/server/settings/settings.go
@@ -95,6 +95,23 @@
 	SureConfidence int
 	// MemoryLimitMB is the memory that the process may use, in MB; 0 if it is not limited.
 	MemoryLimitMB int
+	// DescriptorLimit is the number of file descriptors that the process may have open; 0 for the limit of the process.
+	DescriptorLimit int
+
+	// MaxConnections bounds the open connections of all listeners, HeaderMemoryBytes the memory of all headers, OperatorBodyBytes
+	// that of the bodies of operators and backend servers. 0 stands for a default that follows from the limits of the process.
+	MaxConnections, HeaderMemoryBytes, OperatorBodyBytes int
+	// MaxHeaderBytes and MaxHeaderFields bound the header of a request.
+	MaxHeaderBytes, MaxHeaderFields int
+	// BodyProgress is the time after which a body is given up that is sent at less than MinBodyRate bytes per second.
+	BodyProgress time.Duration
+	MinBodyRate  int
+	// WriteProgress is the time within which a client must accept 16 KiB of an answer.
+	WriteProgress time.Duration
+	// SocketBufferBytes is the size of the kernel's buffers for each direction of a connection.
+	SocketBufferBytes int
+	// MaxJSONValues and MaxJSONDepth bound the decoded form of JSON bodies.
+	MaxJSONValues, MaxJSONDepth int
 }
 
 // Fault is one rejected setting.
--- a/server/settings/settings_test.go
+++ b/server/settings/settings_test.go
@@ -45,6 +45,14 @@
 		Expect(s.ReplicaAddresses()).To(Equal([]string{"127.0.0.1:8003", "127.0.0.1:8103"}))
 	})
 
+	// Guards against a limit of clients that is 0 and so refuses all, or that the platform can't leave to the default.
+	It("has defaults for the limits of clients, and takes 0 for those that follow from the machine", func() {
+		s, err := load(strings.Replace(completeINI, "id = a1", "id = a1\ndescriptor_limit = 0\n[clients]\nmax_connections = 0\n[instance]", 1))
+		Expect(err).NotTo(HaveOccurred())
+		Expect([]int{s.DescriptorLimit, s.MaxConnections, s.MaxHeaderBytes, s.MaxHeaderFields}).To(Equal([]int{0, 0, 128 << 10, 4096}))
+		Expect(s.BodyProgress).To(Equal(10 * time.Second))
+	})
+
 	DescribeTable("refuses a fault and names section, key, value and what is allowed",
 		func(old, replacement string, parts ...string) {
 			_, err := load(strings.Replace(completeINI, old, replacement, 1))
@@ -60,6 +68,8 @@
 		Entry("one replica listed twice would count as two voters", "a2=127.0.0.1:8103", "a1=127.0.0.1:8103", "[control] replicas"),
 		Entry("a key given twice hides one of the values", "id = a1", "id = a1\nid = a2", "[instance] id", "once"),
 		Entry("a plain token in place of its hash would be stored in clear", "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08", "secret", "[secrets] operator_token_sha256"),
+		Entry("fewer descriptors than the process needs would refuse every client", "id = a1", "id = a1\ndescriptor_limit = 200", "[instance] descriptor_limit", `"200"`),
+		Entry("a negative number of connections is no limit", "[control]", "[clients]\nmax_connections = -1\n[control]", "[clients] max_connections", `"-1"`),
 		Entry("bootstrap on an instance outside the group starts a second group", "a1=127.0.0.1:8003", "a3=127.0.0.1:8003", "[control] replicas", "contains this instance"),
 	)
 })
--- a/standin/flood/flood_suite_test.go
+++ b/standin/flood/flood_suite_test.go
@@ -56,6 +56,7 @@
 	GinkgoHelper()
 	s, err := site.New(site.Config{
 		Binaries: binaries, Dir: GinkgoT().TempDir(), ControlCount: 1, Zones: []string{"north"}, MemoryLimitMB: memoryLimitMB, UseReadiness: true,
+		ExtraSettings: "[instance]\ndescriptor_limit = " + strconv.Itoa(descriptorBound),
 	})
 	Expect(err).NotTo(HaveOccurred())
 	t := &target{Site: s, Instance: s.Instances[0], stopSampling: make(chan struct{})}
