connlimit: prefer connections without an answered request

Cause: at the limit the longest waiting connection was closed, which in a flood of new connections are the idle ones that ordinary callers are about to use again; a request sent on one of them would meet a reset.

Change: connections without an answered request are closed first while they are at least a quarter of those that wait. Below a quarter, answered ones are, so that a flood which leaves answered connections open does not have each new connection closed before its first request.

--- a/server/callerconn/callerconn.go
+++ b/server/callerconn/callerconn.go
@@ -136,7 +136,7 @@
 	case http.StateNew, http.StateIdle:
 		c.phase, c.deadline = phaseIdle, time.Now().Add(c.limits().IdleTimeout)
 		c.releaseHeader()
-		c.guard.setWaiting(c, true)
+		c.guard.setIdle(c, state == http.StateIdle)
 	case http.StateActive:
 		// net/http reports this state once it has read the header. beginBody follows if the request has a body.
 		c.phase, c.deadline = phaseServed, time.Time{}
--- a/server/callerconn/guard.go
+++ b/server/callerconn/guard.go
@@ -121,6 +121,18 @@
 	g.table.SetWaiting(c.entry, waiting, time.Now())
 }
 
+// setIdle records that the connection waits for a request; answered is true after the answer to another one.
+func (g *Guard) setIdle(c *conn, answered bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	if answered {
+		g.table.SetWaiting(c.entry, false, now)
+		g.table.SetAnswered(c.entry)
+	}
+	g.table.SetWaiting(c.entry, true, now)
+}
+
 // remove takes a connection out of the table unless it was evicted or removed before.
 func (g *Guard) remove(c *conn) {
 	g.mu.Lock()
--- a/server/connlimit/connlimit.go
+++ b/server/connlimit/connlimit.go
@@ -1,5 +1,6 @@
 // Package connlimit decides which connection is closed when a process has too many: of those that have sent no complete
-// request, the one that has waited longest, of the source address with most of them.
+// request, the one that has waited longest, of the source address with most of them. Connections on which a request was
+// answered are kept for the next one while at least a quarter of those that wait had none.
 //
 // It addresses floods of connections that send nothing, send slowly, or stop in a header or a body, from one source address
 // or from many. Connections with a complete request are never chosen.
@@ -33,9 +34,12 @@
 	Owner    any
 	listener *listenerConns
 	source   *source
+	// answered is true once a request was answered.
+	answered bool
 	// since is when the connection began to wait; element is its place among those that wait, nil while it doesn't wait.
 	since   time.Time
 	element *list.Element
+	queue   *queue
 	removed bool
 }
 
@@ -43,20 +47,31 @@
 type listenerConns struct {
 	count   int
 	sources map[string]*source
-	// waiting orders the sources that have waiting connections by the choice of the next connection to close.
-	waiting sourceHeap
+	// fresh and answered hold the connections that wait, without and with an answered request.
+	fresh, answered waiters
+}
+
+// waiters orders the sources that have waiting connections by the choice of the next connection to close.
+type waiters struct {
+	count int
+	order queueHeap
 }
 
 // source holds the connections from one address.
 type source struct {
-	address string
-	count   int
-	waiting list.List // of *Conn, the longest waiting first
-	index   int       // in listenerConns.waiting, -1 if not in it
+	address         string
+	count           int
+	fresh, answered queue
+}
+
+// queue holds the waiting connections of one source, the longest waiting first.
+type queue struct {
+	conns list.List // of *Conn
+	index int       // in waiters.order, -1 if not in it
 }
 
-func (s *source) longest() *Conn {
-	c, _ := s.waiting.Front().Value.(*Conn)
+func (q *queue) longest() *Conn {
+	c, _ := q.conns.Front().Value.(*Conn)
 	return c
 }
 
@@ -97,7 +112,7 @@
 	}
 	s := l.sources[address]
 	if s == nil {
-		s = &source{address: address, index: -1}
+		s = &source{address: address, fresh: queue{index: -1}, answered: queue{index: -1}}
 		l.sources[address] = s
 	}
 	added = &Conn{listener: l, source: s}
@@ -113,7 +128,7 @@
 func (t *Table) largestVictim(own *listenerConns) *Conn {
 	var best *listenerConns
 	for _, l := range t.listeners {
-		if len(l.waiting) > 0 && (l.count > t.limits.Guaranteed || l == own) && (best == nil || l.count > best.count) {
+		if l.fresh.count+l.answered.count > 0 && (l.count > t.limits.Guaranteed || l == own) && (best == nil || l.count > best.count) {
 			best = l
 		}
 	}
@@ -123,11 +138,17 @@
 	return best.victim()
 }
 
+// victim returns the connection to close, nil if none waits.
 func (l *listenerConns) victim() *Conn {
-	if len(l.waiting) == 0 {
+	from := &l.answered
+	// Without the second condition, a flood that leaves answered connections open would have every new connection closed.
+	if l.fresh.count > 0 && 3*l.fresh.count >= l.answered.count {
+		from = &l.fresh
+	}
+	if from.count == 0 {
 		return nil
 	}
-	return l.waiting[0].longest()
+	return from.order[0].longest()
 }
 
 // SetWaiting records whether the connection waits for a complete request of its client, from now on.
@@ -135,16 +156,25 @@
 	if c.removed || waiting == (c.element != nil) {
 		return
 	}
+	of, queue := &c.listener.fresh, &c.source.fresh
+	if waiting && c.answered || !waiting && c.queue == &c.source.answered {
+		of, queue = &c.listener.answered, &c.source.answered
+	}
 	if waiting {
-		c.since = now
-		c.element = c.source.waiting.PushBack(c)
+		c.since, c.queue = now, queue
+		c.element = queue.conns.PushBack(c)
+		of.count++
 	} else {
-		c.source.waiting.Remove(c.element)
-		c.element = nil
+		queue.conns.Remove(c.element)
+		c.element, c.queue = nil, nil
+		of.count--
 	}
-	c.listener.reorder(c.source)
+	of.reorder(queue)
 }
 
+// SetAnswered records that a request on the connection was answered. It must not wait.
+func (t *Table) SetAnswered(c *Conn) { c.answered = true }
+
 // Remove removes a connection and reports whether it was in the table.
 func (t *Table) Remove(c *Conn) bool {
 	if c.removed {
@@ -169,45 +199,47 @@
 	return 0
 }
 
-// reorder puts a source at its place among those with waiting connections after a change.
-func (l *listenerConns) reorder(s *source) {
+// reorder puts a queue at its place after a change.
+func (w *waiters) reorder(q *queue) {
 	switch {
-	case s.waiting.Len() == 0 && s.index >= 0:
-		heap.Remove(&l.waiting, s.index)
-	case s.waiting.Len() > 0 && s.index < 0:
-		heap.Push(&l.waiting, s)
-	case s.index >= 0:
-		heap.Fix(&l.waiting, s.index)
+	case q.conns.Len() == 0 && q.index >= 0:
+		heap.Remove(&w.order, q.index)
+	case q.conns.Len() > 0 && q.index < 0:
+		heap.Push(&w.order, q)
+	case q.index >= 0:
+		heap.Fix(&w.order, q.index)
 	}
 }
 
-// sourceHeap implements heap.Interface. The first source has most waiting connections, or the longest waiting one of those
-// with equally many.
-type sourceHeap []*source
+// queueHeap implements heap.Interface. The first queue has most connections, or the longest waiting one of those with equally
+// many.
+type queueHeap []*queue
 
-func (h sourceHeap) Len() int { return len(h) }
+func (h queueHeap) Len() int { return len(h) }
 
-func (h sourceHeap) Less(i, j int) bool {
-	if a, b := h[i].waiting.Len(), h[j].waiting.Len(); a != b {
+// Less sorts an empty queue, which is about to be removed, to the end.
+func (h queueHeap) Less(i, j int) bool {
+	a, b := h[i].conns.Len(), h[j].conns.Len()
+	if a != b || a == 0 {
 		return a > b
 	}
 	return h[i].longest().since.Before(h[j].longest().since)
 }
 
-func (h sourceHeap) Swap(i, j int) {
+func (h queueHeap) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
 	h[i].index, h[j].index = i, j
 }
 
 // Push implements heap.Interface.
-func (h *sourceHeap) Push(x any) {
-	s, _ := x.(*source)
-	s.index = len(*h)
-	*h = append(*h, s)
+func (h *queueHeap) Push(x any) {
+	q, _ := x.(*queue)
+	q.index = len(*h)
+	*h = append(*h, q)
 }
 
 // Pop implements heap.Interface.
-func (h *sourceHeap) Pop() any {
+func (h *queueHeap) Pop() any {
 	last := (*h)[len(*h)-1]
 	last.index = -1
 	*h = (*h)[:len(*h)-1]
--- a/server/connlimit/connlimit_test.go
+++ b/server/connlimit/connlimit_test.go
@@ -56,6 +56,47 @@
 	}
 }
 
+// Guards against a flood that closes the idle connections of ordinary callers, which they are about to use again.
+func TestFloodKeepsIdleConnectionsOfOrdinaryCallers(t *testing.T) {
+	table := connlimit.NewTable(connlimit.Limits{Total: 100, PerListener: 100, Guaranteed: 10})
+	for i := range 50 {
+		c, _, _ := table.Add("callers", "balancer", at(i))
+		table.SetWaiting(c, false, at(i))
+		table.SetAnswered(c)
+		table.SetWaiting(c, true, at(i))
+		c.Owner = "ordinary"
+	}
+	for i := range 5000 {
+		if _, victim, ok := table.Add("callers", fmt.Sprint(i), at(100+i)); !ok || victim != nil && victim.Owner == "ordinary" {
+			t.Fatalf("connection %d of the flood: ok %v, victim %v", i, ok, victim)
+		}
+	}
+}
+
+// Guards against a flood of answered connections, left open, that has each new connection closed before its first request.
+func TestFloodOfAnsweredConnectionsLeavesRoomForNewOnes(t *testing.T) {
+	table := connlimit.NewTable(connlimit.Limits{Total: 100, PerListener: 100, Guaranteed: 10})
+	for i := range 100 {
+		c, _, _ := table.Add("callers", fmt.Sprint(i), at(i))
+		table.SetWaiting(c, false, at(i))
+		table.SetAnswered(c)
+		table.SetWaiting(c, true, at(i))
+	}
+	var fresh []*connlimit.Conn
+	for i := range 20 {
+		c, victim, ok := table.Add("callers", fmt.Sprint("new", i), at(200+i))
+		for _, f := range fresh {
+			if victim == f {
+				t.Fatalf("connection %d closed a new one", i)
+			}
+		}
+		if !ok {
+			t.Fatalf("connection %d was refused", i)
+		}
+		fresh = append(fresh, c)
+	}
+}
+
 // Guards against a full process that closes requests it serves.
 func TestNewConnectionIsRefusedWhenAllOthersAreServed(t *testing.T) {
 	table := connlimit.NewTable(connlimit.Limits{Total: 2, PerListener: 2, Guaranteed: 1})
