--- a/standin/flood/flood_suite_test.go
+++ b/standin/flood/flood_suite_test.go
@@ -53,6 +53,11 @@
 
 // startTarget starts a site of one process with every listener and waits until it serves.
 func startTarget() *target {
+	GinkgoHelper()
+	return startTargetWith(floodCatalogue())
+}
+
+func startTargetWith(c *catalogue.Catalogue) *target {
 	GinkgoHelper()
 	s, err := site.New(site.Config{
 		Binaries: binaries, Dir: GinkgoT().TempDir(), ControlCount: 1, Zones: []string{"north"}, MemoryLimitMB: memoryLimitMB, UseReadiness: true,
@@ -63,7 +68,7 @@
 	DeferCleanup(s.Close)
 	DeferCleanup(t.printLog)
 	Expect(s.Start()).To(Succeed())
-	Expect(s.ApplyCatalogue(floodCatalogue(), answerTimeout)).To(Succeed())
+	Expect(s.ApplyCatalogue(c, answerTimeout)).To(Succeed())
 	Expect(s.WaitReady(answerTimeout)).To(Succeed())
 	t.pid = t.PID()
 	t.sampling.Go(t.sampleDescriptors)
--- a/standin/flood/flood_test.go
+++ b/standin/flood/flood_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 
+	"clementinetray/api/catalogue"
 	"clementinetray/standin/site"
 )
 
@@ -102,6 +103,36 @@
 	})
 })
 
+var _ = Describe("a flood of bodies on a route of the catalogue", func() {
+	const routedPath = "/routed/path"
+	startRouted := func() *target {
+		GinkgoHelper()
+		c := floodCatalogue()
+		c.Routes = []catalogue.Route{{
+			Name: "all", Host: "a", PathPrefix: "/", Kind: catalogue.KindIdempotent, MaxAttempts: 1, TimeLimitMillis: 15_000,
+			Targets: []catalogue.Target{{Service: "orders", Weight: 1}},
+		}}
+		return startTargetWith(c)
+	}
+	for _, r := range []struct{ name, key string }{{"with a valid key", site.LargeKey}, {"without a key", ""}} {
+		It("of legal size that stop short of their end, "+r.name, func() {
+			t := startRouted()
+			flood(t.Callers, crowd{size: 60, send: unfinishedBody(routedPath, r.key, legalBody)})
+			t.expectSurvival(callers)
+		})
+		It("of small size that stop short of their end, "+r.name, func() {
+			t := startRouted()
+			flood(t.Callers, crowd{size: 2000, manySources: true, send: unfinishedBody(routedPath, r.key, 32<<10)})
+			t.expectSurvival(callers)
+		})
+		It("of legal size and complete, "+r.name, func() {
+			t := startRouted()
+			flood(t.Callers, crowd{size: 60, send: completeBody(http.MethodPost, routedPath, r.key, manyMessages(legalBody-100))})
+			t.expectSurvival(callers)
+		})
+	}
+})
+
 var _ = Describe("a flood of JSON", func() {
 	for _, kind := range []struct {
 		name string
