entry: one workspace may hold three quarters of the memory for bodies

Cause: unfinished bodies of one workspace could take the whole budget, so that the requests of all others were refused as overloaded until the bodies were given up.

--- a/server/callerconn/body.go
+++ b/server/callerconn/body.go
@@ -93,9 +93,13 @@
 	return n, err
 }
 
-// hasLargeRest reports whether more is unread than a connection is kept for.
+// hasLargeRest reports whether more is unread than a connection is kept for. A body of unknown length counts as large if nothing
+// of it was read: a decoder that stops at the end of a JSON value has not seen the last chunk.
 func (b *boundedBody) hasLargeRest() bool {
-	return !b.ended && (b.length < 0 || b.length-b.read > smallRest)
+	if b.length < 0 {
+		return !b.ended && b.read == 0
+	}
+	return b.length-b.read > smallRest
 }
 
 // answerWriter ends the connection after an answer before the end of a large body.
--- a/server/callerconn/callerconn.go
+++ b/server/callerconn/callerconn.go
@@ -135,6 +135,7 @@
 	switch state {
 	case http.StateNew, http.StateIdle:
 		c.phase, c.deadline = phaseIdle, time.Now().Add(c.limits().IdleTimeout)
+		c.readDeadline = time.Time{}
 		c.releaseHeader()
 		c.guard.setIdle(c, state == http.StateIdle)
 	case http.StateActive:
--- a/server/callerconn/guard_test.go
+++ b/server/callerconn/guard_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -33,6 +34,12 @@
 				w.WriteHeader(http.StatusUnauthorized)
 				return
 			}
+			if r.URL.Path == "/value" {
+				var value int
+				_ = json.NewDecoder(r.Body).Decode(&value)
+				_, _ = fmt.Fprint(w, value)
+				return
+			}
 			if r.URL.Path == "/large" {
 				_, _ = w.Write(make([]byte, 8<<20))
 				return
@@ -193,6 +200,26 @@
 			status, _ = answer(inSmall)
 			Expect(status).To(Equal(http.StatusUnauthorized))
 		}
+		// Later than the time in which the rest of the refused body may come.
+		time.Sleep(1200 * time.Millisecond)
+		send(small, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\na")
+		time.Sleep(50 * time.Millisecond)
+		send(small, "bc")
+		status, text := answer(inSmall)
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(text).To(Equal("3"))
+	})
+
+	// Guards against closing the connection of a backend server after each announcement that it sends in chunks.
+	It("keeps the connection after a chunked body that was decoded", func() {
+		c := dial(start("operators", callerconn.Config{BodyProgress: 5 * time.Second, MinBodyRate: 1, BodyMemory: 1 << 20}))
+		in := bufio.NewReader(c)
+		for range 3 {
+			send(c, "POST /value HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n42\n\r\n0\r\n\r\n")
+			status, text := answer(in)
+			Expect(status).To(Equal(http.StatusOK))
+			Expect(text).To(Equal("42"))
+		}
 	})
 
 	It("closes a connection whose client reads nothing, and serves one that reads slowly", func() {
--- a/server/entry/bytebudget.go
+++ b/server/entry/bytebudget.go
@@ -16,6 +16,44 @@
 	// countSmall makes what is up to uncountedBytes count too, and keeps a part of the limit for it.
 	countSmall bool
 	used       atomic.Int64
+
+	mu sync.Mutex // guards usedBy
+	// usedBy holds the bytes of each owner that is bounded by itself.
+	usedBy map[string]int64
+}
+
+// take reserves size bytes while no more than limit are in use, and no more than ownLimit by the owner if ownLimit is set.
+func (b *byteBudget) take(owner string, size, limit, ownLimit int64) bool {
+	if b.used.Add(size) > limit {
+		b.used.Add(-size)
+		return false
+	}
+	if ownLimit == 0 {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.usedBy[owner]+size > ownLimit {
+		b.used.Add(-size)
+		return false
+	}
+	if b.usedBy == nil {
+		b.usedBy = map[string]int64{}
+	}
+	b.usedBy[owner] += size
+	return true
+}
+
+func (b *byteBudget) release(owner string, size, ownLimit int64) {
+	b.used.Add(-size)
+	if ownLimit == 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.usedBy[owner] -= size; b.usedBy[owner] <= 0 {
+		delete(b.usedBy, owner)
+	}
 }
 
 // largeLimit returns the part of the limit that is open to what is over uncountedBytes.
@@ -39,12 +77,27 @@
 	// smallShare is the divisor of the part that is kept for bodies of up to uncountedBytes, so that ordinary requests are read
 	// while large ones take all that is open to them.
 	smallShare = 8
+	// ownerPercent is the part of the limit that one of several owners may hold, so that the others' requests are read while one
+	// floods. A chat request of 4 MB takes 20 MB for its copies, of the 28 MB on the smallest machine.
+	ownerPercent = 75
 )
 
 // bufferShare is the part of a byteBudget that one attempt or request holds. It is not safe for concurrent use.
 type bufferShare struct {
 	buffer *byteBudget
 	held   int64
+	// owner is the workspace of the request, ownLimit the number of bytes that all its shares may hold; 0 for no such limit.
+	owner    string
+	ownLimit int64
+}
+
+// limitAlone returns the number of bytes that the share gets while there is no other, for what is over uncountedBytes.
+func (s *bufferShare) limitAlone() int64 {
+	limit := s.buffer.largeLimit()
+	if s.ownLimit > 0 {
+		limit = min(limit, s.ownLimit)
+	}
+	return limit - bufferStep
 }
 
 // grow makes the share hold at least size bytes. It returns an error if the buffer has no room for that.
@@ -60,8 +113,7 @@
 	if missing <= 0 {
 		return nil
 	}
-	if s.buffer.used.Add(missing) > limit {
-		s.buffer.used.Add(-missing)
+	if !s.buffer.take(s.owner, missing, limit, s.ownLimit) {
 		return Error.Wrap(errBufferFull.New("%d bytes are in use", s.buffer.limit))
 	}
 	s.held += missing
@@ -75,13 +127,13 @@
 		return
 	}
 	if surplus := s.held - (int64(size)+bufferStep-1)/bufferStep*bufferStep; surplus > 0 {
-		s.buffer.used.Add(-surplus)
+		s.buffer.release(s.owner, surplus, s.ownLimit)
 		s.held -= surplus
 	}
 }
 
 func (s *bufferShare) release() {
-	s.buffer.used.Add(-s.held)
+	s.buffer.release(s.owner, s.held, s.ownLimit)
 	s.held = 0
 }
 
--- a/server/entry/bytebudget_internal_test.go
+++ b/server/entry/bytebudget_internal_test.go
@@ -57,6 +57,33 @@
 	}
 }
 
+// Guards against a workspace whose bodies leave no room for those of others, and against bytes that are not given back.
+func TestOneWorkspaceLeavesRoomForOthers(t *testing.T) {
+	budget := byteBudget{limit: 1 << 20, countSmall: true}
+	newShare := func(owner string) *bufferShare {
+		return &bufferShare{buffer: &budget, owner: owner, ownLimit: budget.limit * ownerPercent / 100}
+	}
+	var flood []*bufferShare
+	for range 100 {
+		share := newShare("flood")
+		if _, _, err := share.readAll(strings.NewReader(strings.Repeat("x", 30<<10)), 1<<20); err != nil && !errBufferFull.Has(err) {
+			t.Fatal(err)
+		}
+		flood = append(flood, share)
+	}
+	other := newShare("other")
+	if _, _, err := other.readAll(strings.NewReader(strings.Repeat("x", 30<<10)), 1<<20); err != nil {
+		t.Fatalf("a body of another workspace: %v", err)
+	}
+	other.release()
+	for _, share := range flood {
+		share.release()
+	}
+	if used := budget.used.Load(); used != 0 || len(budget.usedBy) != 0 {
+		t.Errorf("%d bytes are in use after all were released, owners %v", used, budget.usedBy)
+	}
+}
+
 // Guards against a limit that is applied one byte early or late where small bodies are counted.
 func TestLimitOfSmallBodies(t *testing.T) {
 	for _, size := range []int{0, 1, 4096, 5000, 32<<10 - 1, 32 << 10, 32<<10 + 1} {
--- a/server/entry/chat.go
+++ b/server/entry/chat.go
@@ -61,7 +61,10 @@
 func (h *Handler) readRequestBody(w http.ResponseWriter, r *http.Request, rq *request, limit int64, copies int) ([]byte, *problem.Problem) {
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(h.cfg.CallerReadTimeout))
-	share := &bufferShare{buffer: &h.requestBuffer}
+	share := &bufferShare{buffer: &h.requestBuffer, owner: rq.workspaceName()}
+	if view := h.cfg.Board.View.Load(); view.View != nil && view.Catalogue != nil && len(view.Catalogue.Workspaces) > 1 {
+		share.ownLimit = h.requestBuffer.limit * ownerPercent / 100
+	}
 	rq.releases = append(rq.releases, share.release)
 	limited := http.MaxBytesReader(w, r.Body, limit)
 	body, _, err := share.readAll(limited, limit)
@@ -72,7 +75,7 @@
 			return nil, problem.New(problem.InvalidRequest, overLimit.Error()).MarkNotRun()
 		}
 		// A body whose copies would fill the memory alone is served while there is no other.
-		err = share.grow(min(copies*len(body)+values*decodedValueBytes, int(h.requestBuffer.largeLimit()-bufferStep)))
+		err = share.grow(min(copies*len(body)+values*decodedValueBytes, int(share.limitAlone())))
 	}
 	var tooLarge *http.MaxBytesError
 	switch {
--- a/standin/flood/flood_suite_test.go
+++ b/standin/flood/flood_suite_test.go
@@ -39,6 +39,9 @@
 	answerTimeout = 40 * time.Second
 )
 
+// limitSettings are the limits that the floods must not exceed.
+var limitSettings = "[instance]\ndescriptor_limit = " + strconv.Itoa(descriptorBound)
+
 // target is a process with control and entry role, and what it was seen to use.
 type target struct {
 	*site.Site
@@ -61,9 +64,15 @@
 	GinkgoHelper()
 	s, err := site.New(site.Config{
 		Binaries: binaries, Dir: GinkgoT().TempDir(), ControlCount: 1, Zones: []string{"north"}, MemoryLimitMB: memoryLimitMB, UseReadiness: true,
-		ExtraSettings: "[instance]\ndescriptor_limit = " + strconv.Itoa(descriptorBound),
+		ExtraSettings: limitSettings,
 	})
 	Expect(err).NotTo(HaveOccurred())
+	return newTarget(s, c)
+}
+
+// newTarget starts a site and returns its first process once all serve.
+func newTarget(s *site.Site, c *catalogue.Catalogue) *target {
+	GinkgoHelper()
 	t := &target{Site: s, Instance: s.Instances[0], stopSampling: make(chan struct{})}
 	DeferCleanup(s.Close)
 	DeferCleanup(t.printLog)
