Tests for bounds that no test held

Cause: with one line each taken out, no test failed for: the part of a listener, the memory of header fields, the answer to a refused request before a middle-sized body, the count of small bodies in the handler, the bound on JSON in the operator API.

--- a/server/callerconn/callerconn.go
+++ b/server/callerconn/callerconn.go
@@ -125,6 +125,8 @@
 	bodyBytes int64
 	// tooSlow is set once the body was given up or is not needed any more.
 	tooSlow bool
+	// refused is set once a header was refused: nothing more is read.
+	refused bool
 	closed  bool
 }
 
@@ -245,6 +247,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
+	case c.refused:
+		return 0, io.EOF
 	case c.limits == nil || c.phase == phaseServed:
 		return size, nil
 	case c.phase == phaseBody:
@@ -337,6 +341,7 @@
 // refuse answers a request whose header is not read to its end. The caller returns io.EOF to net/http, which then closes the
 // connection without an answer of its own.
 func (c *conn) refuse(reason string, status int) {
+	c.refused = true
 	c.guard.count(c.listener, reason)
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(slowWrite))
 	_, _ = io.WriteString(c.Conn, refusalText(status))
--- a/server/connlimit/connlimit_test.go
+++ b/server/connlimit/connlimit_test.go
@@ -139,6 +139,28 @@
 	}
 }
 
+// Guards against listeners that take the part of another one when it alone has connections that wait.
+func TestWaitingConnectionsWithinTheirPartAreKept(t *testing.T) {
+	limits := connlimit.DeriveLimits(80)
+	table := connlimit.NewTable(limits)
+	var peers []*connlimit.Conn
+	for i := range limits.Guaranteed {
+		c, _, _ := table.Add("peers", "p", at(i))
+		peers = append(peers, c)
+	}
+	for i := range 1000 {
+		c, victim, ok := table.Add([]string{"callers", "operators"}[i%2], fmt.Sprint(i), at(100+i))
+		for _, p := range peers {
+			if victim == p {
+				t.Fatalf("connection %d closed one of a peer", i)
+			}
+		}
+		if ok {
+			table.SetWaiting(c, false, at(100+i))
+		}
+	}
+}
+
 // Guards against a count that grows with connections that have ended.
 func TestRemovedConnectionsDoNotCount(t *testing.T) {
 	table := connlimit.NewTable(connlimit.Limits{Total: 2, PerListener: 2, Guaranteed: 1})
--- a/server/controlsvc/operator_test.go
+++ b/server/controlsvc/operator_test.go
@@ -20,6 +20,7 @@
 	"clementinetray/api/event"
 	"clementinetray/api/problem"
 	"clementinetray/server/controlstate"
+	"clementinetray/server/jsonbound"
 	"clementinetray/server/replica"
 )
 
@@ -113,6 +114,16 @@
 		Entry("a timeline start that is no time", "GET", "/v1/timeline?since=yesterday", "", 400, problem.InvalidRequest),
 		Entry("a replica without an address", "POST", "/v1/replicas/c4", "{}", 400, problem.InvalidRequest),
 	)
+	// Guards against a body of legal size whose decoded form takes a multiple of it.
+	It("refuses JSON over the limits before it is decoded", func() {
+		limited := newTestService(true, func(c *Config) { c.JSONLimits = jsonbound.Limits{Values: 100, Depth: 10} }).run()
+		for _, body := range []string{strings.Repeat("[", 11), "[" + strings.Repeat("0,", 100) + "0]"} {
+			w := sendRequest(limited.OperatorHandler([]string{tokenHash}), "PUT", "/v1/catalogue", body)
+			Expect(w.Code).To(Equal(400))
+			Expect(parseAnswer(w).Reason).To(Equal(problem.InvalidRequest))
+			Expect(parseAnswer(w).Detail).To(ContainSubstring("more than"))
+		}
+	})
 	It("lists the invalid fields of a catalogue", func() {
 		w := sendRequest(h, "PUT", "/v1/catalogue", catalogueChange(0, "a", strings.Replace(validCatalogue, `"v2"`, `"v1"`, 1)))
 		Expect(string(parseAnswer(w).Fields)).To(ContainSubstring(`is named twice`))
