--- a/server/daemon/control.go
+++ b/server/daemon/control.go
@@ -172,6 +172,6 @@
 		Shares:            shareAggregator,
 		LeaderControllers: []controlsvc.LeaderController{lifecycles, modelRollouts, serviceRollouts, fleetRatings, engineOrders, fleetRecorder},
 		Recorder:          recorder, Clock: clock, Peers: pool, Identity: identity, PeerAddress: s.PeerAdvertise, Logger: logger,
-		ToleratedLosses: s.ToleratedLosses,
+		ToleratedLosses: s.ToleratedLosses, JSONLimits: jsonLimits(s),
 	})
 }
