fleet: an unknown start does not replace a known one

Callers saw: one heartbeat without a start, by another writer, made the system take a sound server for a new one.

Cause: isLate let a start of 0 replace any known start. Servers that never state a start are served as before.

Evidence: the spec 'keep their known start when an announcement states none' failed before and passes now.

--- a/server/fleet/start_announcement_test.go
+++ b/server/fleet/start_announcement_test.go
@@ -65,6 +65,22 @@
 		Expect(row("s").Leaving).To(BeFalse(), "a new boot starts without it")
 	})
 
+	// Guards against an announcement without a start, by another program, that replaces a known start: the running attempts on the
+	// server would be cancelled, and its own announcements ignored, also the one that it drains.
+	It("keep their known start when an announcement states none", func() {
+		Expect(table.Announce(now, announcementWithStart("s", 5, 1))).To(Succeed())
+		Expect(fleet.ErrStaleBoot.Has(table.Announce(now, announcementWithStart("s", 0, 2)))).To(BeTrue())
+		Expect(row("s").Started).To(Equal(int64(5)))
+		Expect(table.Announce(now, announcementWithStart("s", 5, 2, setLeaving))).To(Succeed())
+		Expect(row("s").Leaving).To(BeTrue())
+	})
+
+	It("are served if they never state their start (guards against the refusal of sound servers)", func() {
+		Expect(table.Announce(now, announcementWithStart("s", 0, 1))).To(Succeed())
+		Expect(table.Announce(now, announcementWithStart("s", 0, 2))).To(Succeed())
+		Expect(row("s").Sequence).To(Equal(int64(2)))
+	})
+
 	// Each case guards against one odd announcement, by another program, that takes the backend server at its address or with its
 	// id out of service, or makes its times overflow.
 	DescribeTable("odd announcements are refused, and the backend server stays in service",
--- a/server/fleet/table.go
+++ b/server/fleet/table.go
@@ -164,10 +164,11 @@
 	markCold(r, a)
 }
 
-// isLate reports whether the announcement is older than the current one, or the same.
+// isLate reports whether the announcement is older than the current one, or the same. An unknown start, which is 0, does not replace a
+// known one.
 func isLate(r *row, a *control.Announcement) bool {
 	if a.Started != r.server.Started {
-		return a.Started > 0 && a.Started < r.server.Started
+		return a.Started < r.server.Started
 	}
 	return a.Sequence > 0 && (a.Sequence <= r.server.Sequence || a.Sequence < r.minSequence)
 }
