entry: the decision about a larger model is one function, counted by outcome

Change: decideLargerModel decides from what the request can expect of each model, which is read once for each. With timed placement it reads a sample, otherwise all servers as before. Log line larger_model_reserved, metric larger_models_total. The two cost functions of entry have names that tell them apart.

--- a/server/entry/admission.go
+++ b/server/entry/admission.go
@@ -32,7 +32,7 @@
 	if r == nil {
 		r = &admission.Request{
 			Rank: rq.rank(), Arrived: rq.start, WaitingSince: now, Target: call.route.TargetTime(), Deadline: call.deadline,
-			Cost: expectedCost(call), Retry: h.pools.WasRejected(now, rq.id), Draw: routing.StableFraction(rq.id, "admission"),
+			Cost: engineCost(call), Retry: h.pools.WasRejected(now, rq.id), Draw: routing.StableFraction(rq.id, "admission"),
 		}
 		h.pools.RecordRequest(now, pool, r)
 		call.admission = r
@@ -56,9 +56,9 @@
 	}
 }
 
-// expectedCost returns the expected engine time of a request in generated tokens; a prompt token costs a quarter of one. Requests
+// engineCost returns the expected engine time of a request in generated tokens; a prompt token costs a quarter of one. Requests
 // without tokens all cost 1.
-func expectedCost(call *routedCall) float64 {
+func engineCost(call *routedCall) float64 {
 	return max(float64(call.PromptTokens)/4+float64(cmp.Or(call.OutputHint, call.MaxOutputTokens)), 1)
 }
 
--- a/server/entry/metrics.go
+++ b/server/entry/metrics.go
@@ -23,6 +23,7 @@
 	openRequests      prometheus.Gauge
 	waitingRequests   prometheus.Gauge
 	admissions        *prometheus.CounterVec
+	largerModels      *prometheus.CounterVec
 	answerBufferBytes prometheus.Gauge
 	firstTokenSeconds prometheus.Histogram
 }
@@ -59,6 +60,7 @@
 		admissions: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: metricNamespace, Subsystem: "entry", Name: "admissions_total", Help: "Decisions of overload control by decision and reason.",
 		}, []string{"decision", "reason"}),
+		largerModels: vector("larger_models_total", "Answers of low confidence by what was decided: whether a larger model answers, and if not, why.", "outcome"),
 		firstTokenSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: metricNamespace, Subsystem: "entry", Name: "first_token_seconds", Help: "Time from the request to the first event of the answer.",
 			Buckets: []float64{.01, .025, .05, .1, .25, .5, 1, 2, 5, 10, 30},
@@ -66,7 +68,7 @@
 	}
 	for _, c := range []prometheus.Collector{
 		m.requests, m.refusals, m.attempts, m.droppedAnswers, m.bills, m.ratings, m.retries, m.continuedStreams, m.crashes, m.serverStatements, m.lateBills,
-		m.panics, m.queuedBills, m.openRequests, m.waitingRequests, m.admissions, m.answerBufferBytes, m.firstTokenSeconds,
+		m.panics, m.queuedBills, m.openRequests, m.waitingRequests, m.admissions, m.largerModels, m.answerBufferBytes, m.firstTokenSeconds,
 	} {
 		if err := r.Register(c); err != nil {
 			return nil, Error.Wrap(err)
--- a/server/entry/models_test.go
+++ b/server/entry/models_test.go
@@ -1,9 +1,11 @@
 package entry_test
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 	"sync/atomic"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -80,4 +82,69 @@
 		Entry("one of low confidence is delivered when no attempt is left", func(r *catalogue.Route) { r.MaxAttempts = 1 }, "10", 100.0, "small", 1, 0),
 		Entry("one of low confidence is delivered when the retry budget is used up", nil, "10", 0.5, "small", 1, 0),
 	)
+
+	// serveModels answers with the name of the model, after a delay for the large one. Every model but the large one has a low confidence.
+	serveModels := func(delay time.Duration) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			model := r.Header.Get("Clementinetray-Model")
+			w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+			w.Header().Set("Content-Type", "text/event-stream")
+			w.Header().Set("Confidence", "10")
+			if model == "large" {
+				w.Header().Set("Confidence", "90")
+				time.Sleep(delay)
+			}
+			_, _ = w.Write([]byte("id: 1\ndata: " + model + "\n\n"))
+		}
+	}
+	controlled := func(change func(*entry.Config)) *harness {
+		return newHarness(func(c *entry.Config) {
+			c.Dialect, c.RoutedRetryRatio, c.RoutedRetrySlack, c.OverloadControl = confidenceDialect{entry.NativeDialect()}, 1, 1000, true
+			change(c)
+		})
+	}
+	threeModels := catalogue.Route{Kind: catalogue.KindStream, Resumable: true, MaxAttempts: 3, Models: []string{"small", "middle", "large"}, TargetMillis: 5000}
+
+	// Guards against requests of the least urgent rank that take the time of the largest model from urgent ones, and against the limit
+	// where overload control is off or only two ranks share the models.
+	DescribeTable("leave the largest model to more urgent ranks under overload control",
+		func(ranks []int, rank int, control bool, want string) {
+			s := controlled(func(c *entry.Config) { c.OverloadControl = control })
+			route := threeModels
+			route.Rank = rank
+			var others []catalogue.Route
+			for i, rank := range ranks {
+				r := route
+				r.Name, r.Host, r.PathPrefix, r.Rank = fmt.Sprint("other", i), "127.0.0.1", fmt.Sprintf("/other%d/", i), rank
+				r.Targets, r.TimeLimitMillis = []catalogue.Target{{Service: "orders", Weight: 1}}, 2000
+				others = append(others, r)
+			}
+			s.setRoute(route, others...)
+			s.addServers("v1", newBackend("b1", serveModels(0)))
+			Expect(send(s.request("POST", "/r/x", "body", "Clementinetray-Model", "*")).body).To(Equal("id: 1\ndata: " + want + "\n\n"))
+			if want == "middle" {
+				Expect(counterValue(s, "clementinetray_entry_larger_models_total", "reserved")).To(Equal(1.0))
+			}
+		},
+		Entry("the least urgent of three", []int{0, 1}, 2, true, "middle"),
+		Entry("a more urgent one of three", []int{0, 2}, 1, true, "large"),
+		Entry("the less urgent of two", []int{0}, 1, true, "large"),
+		Entry("the least urgent of three without overload control", []int{0, 1}, 2, false, "large"),
+	)
+
+	It("take no model that is expected to answer after the target time (guards against prompts that a slow model reads for longer than callers wait)", func() {
+		s := controlled(func(*entry.Config) {})
+		route := threeModels
+		route.Models = []string{"small", "large"}
+		s.setRoute(route)
+		s.addServers("v1", newBackend("b1", serveModels(60*time.Millisecond)))
+		ask := func() string { return send(s.request("POST", "/r/x", "body", "Clementinetray-Model", "*")).body }
+		for range 40 {
+			Expect(ask()).To(ContainSubstring("large"))
+		}
+		route.TargetMillis = 20
+		s.setRoute(route)
+		Expect(ask()).To(ContainSubstring("small"))
+		Expect(counterValue(s, "clementinetray_entry_larger_models_total", "late")).To(Equal(1.0))
+	})
 })
--- a/server/entry/routed_model.go
+++ b/server/entry/routed_model.go
@@ -29,29 +29,58 @@
 		rq.countedAttempts >= rq.maxAttempts() {
 		return ""
 	}
+	model, outcome := h.decideLargerModel(rq, confidence)
+	h.metrics.largerModels.WithLabelValues(outcome).Inc()
+	return model
+}
+
+// Values of the metric label of decisions about a larger model.
+const (
+	largerModelChosen     = "chosen"
+	largerModelReserved   = "reserved"
+	largerModelLate       = "late"
+	largerModelBusy       = "busy"
+	largerModelOverBudget = "over_budget"
+)
+
+// decideLargerModel decides about an answer of low confidence. It returns the larger model, or an empty string and why the answer is
+// delivered. The log lines of the reasons hold the values that it is based on.
+func (h *Handler) decideLargerModel(rq *request, confidence int) (model, outcome string) {
+	call := rq.routed
+	models := call.route.Models
 	position := slices.Index(models, call.model)
 	wanted := balance.NextModel(position, len(models), confidence, h.cfg.SureConfidence)
+	outlooks := map[int]modelOutlook{}
+	outlookOf := func(i int) modelOutlook {
+		if _, ok := outlooks[i]; !ok {
+			outlooks[i] = h.outlookOf(rq, models[i])
+		}
+		return outlooks[i]
+	}
 	if call.controlled {
-		wanted = min(wanted, max(balance.LargestForRank(rq.rank(), h.modelRanks(call.service), len(models)), position))
+		wanted = min(wanted, balance.LargestForRank(rq.rank(), h.modelRanks(call.service), len(models)))
+		if wanted <= position {
+			h.cfg.Log.Info("larger_model_reserved", "request", rq.id, "confidence", confidence, "rank", rq.rank())
+			return "", largerModelReserved
+		}
 		left := time.Until(rq.start.Add(call.route.TargetTime()))
-		wanted = balance.LargestInTime(position, wanted, left, func(i int) time.Duration { return h.expectedFirstEvent(rq, models[i]) })
+		wanted = balance.LargestInTime(position, wanted, left, func(i int) time.Duration { return outlookOf(i).firstEvent })
 		if wanted == position {
 			h.cfg.Log.Info("larger_model_late", "request", rq.id, "confidence", confidence, "prompt_tokens", call.PromptTokens, "left", left)
-			return ""
+			return "", largerModelLate
 		}
 	}
-	larger := models[wanted]
-	pressure, balanceReq := h.modelPressure(rq, larger)
-	if threshold := balance.RequiredConfidence(h.cfg.SureConfidence, pressure, balanceReq); confidence >= threshold {
-		h.cfg.Log.Info("larger_model_busy", "request", rq.id, "confidence", confidence, "sure", threshold, "pressure", pressure,
-			"prompt_tokens", balanceReq.PromptTokens)
-		return ""
+	outlook := outlookOf(wanted)
+	if threshold := balance.RequiredConfidence(h.cfg.SureConfidence, outlook.pressure, outlook.request); confidence >= threshold {
+		h.cfg.Log.Info("larger_model_busy", "request", rq.id, "confidence", confidence, "sure", threshold, "pressure", outlook.pressure,
+			"prompt_tokens", outlook.request.PromptTokens)
+		return "", largerModelBusy
 	}
 	if !h.routedBudget(call.service).TryRetryWithinShare(time.Now(), lowConfidenceShare) {
 		h.cfg.Log.Info("larger_model_over_budget", "request", rq.id, "confidence", confidence)
-		return ""
+		return "", largerModelOverBudget
 	}
-	return larger
+	return models[wanted], largerModelChosen
 }
 
 // modelRanks returns the ranks of the routes that choose between models of the service.
@@ -69,30 +98,37 @@
 	return ranks
 }
 
-// modelPressure returns how busy the backend servers are that can run the request with the model, in units of load, and the
-// result of balanceRequest for the model. The pressure is 0 if the view is too old.
-func (h *Handler) modelPressure(rq *request, model string) (float64, *balance.Request) {
-	snap, p := h.routingSnapshot()
-	if p != nil {
-		return 0, rq.balanceRequest(nil, model)
-	}
-	balanceReq := rq.balanceRequest(snap.View.Catalogue.PoolOf(rq.routed.service).Engine, model)
-	rows, _ := routableServers(snap, rq, h.boundVersion(rq, snap))
-	return balance.GroupPressure(h.balance.Candidates(snap.Now, rows, balanceReq), balanceReq), balanceReq
+// modelOutlook is what a request can expect of a model.
+type modelOutlook struct {
+	// firstEvent is the shortest expected time to the first event, 0 if it is not known.
+	firstEvent time.Duration
+	// pressure is how busy the backend servers are that can run the model, in units of load.
+	pressure float64
+	request  *balance.Request
 }
 
-// expectedFirstEvent returns the shortest expected time to the first event of the request on the model, 0 if it is not known.
-func (h *Handler) expectedFirstEvent(rq *request, model string) (shortest time.Duration) {
+// outlookOf returns what the request can expect of the model. The times and the pressure are 0 if the view is too old.
+func (h *Handler) outlookOf(rq *request, model string) modelOutlook {
 	snap, p := h.routingSnapshot()
 	if p != nil {
-		return 0
+		return modelOutlook{request: rq.balanceRequest(nil, model)}
+	}
+	pool := snap.View.Catalogue.PoolOf(rq.routed.service)
+	out, boundVersion := modelOutlook{request: rq.balanceRequest(pool.Engine, model)}, h.boundVersion(rq, snap)
+	list := h.newRoutableList(snap, rq, &pool, boundVersion)
+	if selected, ok := h.balance.Select(snap.Now, list, out.request, rq.id); ok {
+		if out.pressure, ok = h.balance.SelectPressure(snap.Now, list, out.request, rq.id); ok {
+			out.firstEvent = selected.Candidate.FirstEvent
+			return out
+		}
 	}
-	balanceReq := rq.balanceRequest(snap.View.Catalogue.PoolOf(rq.routed.service).Engine, model)
-	rows, _ := routableServers(snap, rq, h.boundVersion(rq, snap))
-	for _, c := range h.balance.Candidates(snap.Now, rows, balanceReq) {
-		if c.Penalty == 0 && !c.Cold && (shortest == 0 || c.FirstEvent < shortest) {
-			shortest = c.FirstEvent
+	rows, _ := routableServers(snap, rq, boundVersion)
+	candidates := h.balance.Candidates(snap.Now, rows, out.request)
+	out.pressure = balance.GroupPressure(candidates, out.request)
+	for i := range candidates {
+		if c := &candidates[i]; c.Penalty == 0 && !c.Cold && c.FirstEvent > 0 && (out.firstEvent == 0 || c.FirstEvent < out.firstEvent) {
+			out.firstEvent = c.FirstEvent
 		}
 	}
-	return shortest
+	return out
 }
--- a/server/entry/routed_test.go
+++ b/server/entry/routed_test.go
@@ -28,14 +28,14 @@
 	return s
 }
 
-func (s *harness) setRoute(route catalogue.Route) {
+func (s *harness) setRoute(route catalogue.Route, others ...catalogue.Route) {
 	route.Name, route.Host, route.PathPrefix = "r", "127.0.0.1", "/r/"
 	route.Targets = []catalogue.Target{{Service: "orders", Weight: 1}}
 	if route.TimeLimitMillis == 0 {
 		route.TimeLimitMillis = 2000
 	}
 	s.changeCatalogue(func(c *catalogue.Catalogue) {
-		c.Routes = []catalogue.Route{route}
+		c.Routes = append([]catalogue.Route{route}, others...)
 		c.Services[0].Pool = &catalogue.Pool{Engine: &catalogue.Engine{Slots: 8, Models: []catalogue.EngineModel{
 			{Name: "small", CostPerThousandTokens: 1}, {Name: "large", CostPerThousandTokens: 10},
 		}}}
--- a/server/entry/workspaceuse.go
+++ b/server/entry/workspaceuse.go
@@ -11,14 +11,14 @@
 // meterPlacement counts an attempt of a routed request in the use of its workspace.
 func (h *Handler) meterPlacement(rq *request) {
 	if h.cfg.Meter != nil {
-		h.cfg.Meter.Served(rq.workspaceName(), h.expectedCost(rq), time.Now())
+		h.cfg.Meter.Served(rq.workspaceName(), h.pricedCost(rq), time.Now())
 	}
 }
 
 // meterFailure takes back an attempt that did not run, for instance because the backend server was full.
 func (h *Handler) meterFailure(rq *request, f *attemptError) {
 	if h.cfg.Meter != nil && (f.notRun || !f.wrote) {
-		h.cfg.Meter.NotRun(rq.workspaceName(), h.expectedCost(rq), time.Now())
+		h.cfg.Meter.NotRun(rq.workspaceName(), h.pricedCost(rq), time.Now())
 	}
 }
 
@@ -28,7 +28,7 @@
 		return
 	}
 	if p.Reason == problem.Overloaded || p.Reason == problem.DeadlineExceeded || len(rq.busyServers) > 0 {
-		h.cfg.Meter.Refused(rq.workspaceName(), h.expectedCost(rq), time.Now())
+		h.cfg.Meter.Refused(rq.workspaceName(), h.pricedCost(rq), time.Now())
 	}
 }
 
@@ -42,8 +42,8 @@
 	maxStatedTokens = 1_000_000
 )
 
-// expectedCost returns the expected cost of a routed request in thousands of prompt tokens of the most expensive model.
-func (h *Handler) expectedCost(rq *request) float64 {
+// pricedCost returns the expected cost of a routed request in thousands of prompt tokens of the most expensive model.
+func (h *Handler) pricedCost(rq *request) float64 {
 	call := rq.routed
 	var engine *catalogue.Engine
 	if view := h.cfg.Board.View.Load(); view.View != nil && view.Catalogue != nil {
