shares: the capacity is what ends at backend servers, in one window for all instances

Cause: the shares divided what was placed in the last 1.5 s. That exceeds the capacity while queues at backend servers fill and is less while they get shorter, so that a share was wrong by up to 38% 6 s after a change with the leader lost. The use was a decayed sum that counts what is placed just before a heartbeat for more; as each heartbeat changes what an instance places, two workspaces above their shares were compared by wrong figures.

Change: entry instances count the end of each attempt (Meter.Ended) in slots of 250 ms and send 13 slots in a heartbeat, 56 bytes. The leader adds up the same window of its own clock, from 2.8 to 1.3 s ago, for all instances. 0.7 of what is placed is the least capacity, for a rise from far below it; an instance without the field counts with what it placed. What comes between two reports has the same weight in the means of the use. The order of workspaces above their shares follows a mean over 12 s instead of 6.

--- a/api/control/messages.go
+++ b/api/control/messages.go
@@ -418,6 +418,15 @@
 	// largest first; one that is not listed uses nothing.
 	ReportsUse bool
 	Use        []WorkspaceUse
+	// Ended is the cost of the attempts of all workspaces that ended; nil if it is not known.
+	Ended *EndedCost
+}
+
+// EndedCost is the cost of the attempts that ended at an entry instance, in slots of 250 ms, the last one first.
+type EndedCost struct {
+	// Age is the time from the end of the last slot until the message was sent.
+	Age   time.Duration
+	Costs []float64
 }
 
 // WorkspaceUse is what one workspace asked of an entry instance and got from it, as a mean over the last seconds. The unit is
--- a/server/entry/contract.go
+++ b/server/entry/contract.go
@@ -34,6 +34,8 @@
 	Served(workspace string, cost float64, now time.Time)
 	// NotRun takes back an attempt that was counted as served and did not run.
 	NotRun(workspace string, cost float64, now time.Time)
+	// Ended counts the end of an attempt that was counted as served and that may have run.
+	Ended(cost float64, now time.Time)
 	// Refused counts a request that is refused for lack of capacity and has not run.
 	Refused(workspace string, cost float64, now time.Time)
 }
--- a/server/entry/routed_run.go
+++ b/server/entry/routed_run.go
@@ -19,12 +19,10 @@
 			h.endRouted(ctx, w, rq, p)
 			return
 		}
-		h.meterPlacement(rq)
 		f := h.attemptRouted(ctx, w, rq, placed)
 		if f == nil {
 			return
 		}
-		h.meterFailure(rq, f)
 		if p := h.checkRoutedRetry(ctx, rq, placed.server, f); p != nil {
 			h.endRouted(ctx, w, rq, p)
 			return
@@ -33,8 +31,11 @@
 }
 
 // attemptRouted sends one attempt and relays its answer to the caller.
-func (h *Handler) attemptRouted(ctx context.Context, w http.ResponseWriter, rq *request, placed *placement) *attemptError {
+func (h *Handler) attemptRouted(ctx context.Context, w http.ResponseWriter, rq *request, placed *placement) (f *attemptError) {
 	defer placed.release()
+	cost := h.meterPlacement(rq)
+	// The panic of an aborted answer ends the attempt, too.
+	defer func() { h.meterEnd(rq, cost, f) }()
 	call := rq.routed
 	// Set lastUsed at the end of the request, so that the session's idle time starts there.
 	defer func() { h.bindVersion(rq, placed.server, time.Now()) }()
--- a/server/entry/workspaceuse.go
+++ b/server/entry/workspaceuse.go
@@ -8,17 +8,24 @@
 	"clementinetray/api/problem"
 )
 
-// meterPlacement counts an attempt of a routed request in the use of its workspace.
-func (h *Handler) meterPlacement(rq *request) {
-	if h.cfg.Meter != nil {
-		h.cfg.Meter.Served(rq.workspaceName(), h.expectedCost(rq), time.Now())
+// meterPlacement counts an attempt of a routed request in the use of its workspace, and returns its cost.
+func (h *Handler) meterPlacement(rq *request) (cost float64) {
+	if h.cfg.Meter == nil {
+		return 0
 	}
+	cost = h.expectedCost(rq)
+	h.cfg.Meter.Served(rq.workspaceName(), cost, time.Now())
+	return cost
 }
 
-// meterFailure takes back an attempt that did not run, for instance because the backend server was full.
-func (h *Handler) meterFailure(rq *request, f *attemptError) {
-	if h.cfg.Meter != nil && (f.notRun || !f.wrote) {
-		h.cfg.Meter.NotRun(rq.workspaceName(), h.expectedCost(rq), time.Now())
+// meterEnd counts the end of an attempt. It takes back one that did not run, for instance because the backend server was full.
+func (h *Handler) meterEnd(rq *request, cost float64, f *attemptError) {
+	switch {
+	case h.cfg.Meter == nil:
+	case f != nil && (f.notRun || !f.wrote):
+		h.cfg.Meter.NotRun(rq.workspaceName(), cost, time.Now())
+	default:
+		h.cfg.Meter.Ended(cost, time.Now())
 	}
 }
 
--- a/server/entry/workspaceuse_test.go
+++ b/server/entry/workspaceuse_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,6 +24,8 @@
 type workspaceMeter struct {
 	mu    sync.Mutex
 	calls []useOf
+	// ended holds the costs of the attempts that ended. Their end may follow the answer.
+	ended []float64
 }
 
 func (m *workspaceMeter) Served(workspace string, cost float64, _ time.Time) {
@@ -37,6 +40,18 @@
 	m.calls = append(m.calls, useOf{workspace, cost, "not run"})
 }
 
+func (m *workspaceMeter) Ended(cost float64, _ time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.ended = append(m.ended, cost)
+}
+
+func (m *workspaceMeter) endedCosts() []float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.ended)
+}
+
 func (m *workspaceMeter) Refused(workspace string, cost float64, _ time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -73,11 +88,29 @@
 		Expect(m.take()).To(ConsistOf(useOf{"acme", 0.2, "served"}))
 		send(s.request("POST", "/r/x", "body", "Clementinetray-Tokens", "9000000000000000000,10"))
 		Expect(m.take()).To(ConsistOf(useOf{"acme", 1000.4, "served"}))
+		Eventually(m.endedCosts).Should(Equal([]float64{0.4, 2, 0.2, 1000.4}))
+	})
+	// Guards against attempts whose end is not counted, so that the leader takes the capacity for smaller than it is.
+	It("counts the end of an attempt whose answer breaks off after its beginning", func() {
+		s, m := newMeteredHarness(newBackend("b1", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = w.Write([]byte("data: x\n\n"))
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		}))
+		response, err := http.DefaultClient.Do(s.request("POST", "/r/x", "body"))
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		served := len(m.take())
+		Expect(served).To(BeNumerically(">=", 1))
+		Eventually(func() int { return len(m.endedCosts()) }).Should(Equal(served))
 	})
 	It("counts each attempt of a request that is repeated", func() {
 		s, m := newMeteredHarness(newBackend("b1", cutAtOnce), newBackend("b2", cutAtOnce))
 		Expect(send(s.request("POST", "/r/x", "body")).status).NotTo(Equal(http.StatusOK))
 		Expect(m.take()).To(Equal([]useOf{{"acme", 0.4, "served"}, {"acme", 0.4, "served"}}))
+		Eventually(m.endedCosts).Should(Equal([]float64{0.4, 0.4}))
 	})
 	// Guards against unserved demand that the leader does not know of, and against refusals for other reasons that count as such.
 	It("counts a request that two full backend servers refuse once, as not served", func() {
@@ -90,6 +123,7 @@
 		Expect(counts["served"]).To(BeNumerically(">=", 2))
 		Expect(counts["not run"]).To(Equal(counts["served"]))
 		Expect(counts["refused"]).To(Equal(1))
+		Expect(m.endedCosts()).To(BeEmpty())
 	})
 	It("counts a refusal only for lack of capacity", func() {
 		spared := func(w http.ResponseWriter, r *http.Request) {
--- a/server/shares/aggregator.go
+++ b/server/shares/aggregator.go
@@ -20,8 +20,8 @@
 	// maxInstances bounds the instances that the aggregator keeps.
 	maxInstances = 4096
 	// rankingTime is the time constant of the mean use by which workspaces above their shares are ordered among each other. Instances
-	// follow an order with a delay of about 2 s; with a mean over a time as short, two workspaces take turns and one gets more.
-	rankingTime = 6 * time.Second
+	// follow an order with a delay of about 2 s, so two workspaces take turns; with a mean over 6 s one of them got up to 12% too little.
+	rankingTime = 12 * time.Second
 	// logInterval is the least time between two log lines about one workspace, and logBurst the most lines in that time.
 	logInterval = time.Minute
 	logBurst    = 20
@@ -52,6 +52,7 @@
 	known               bool
 	reporting, expected int
 	demands             []demand
+	capacity            float64
 	standings           []control.WorkspaceStanding
 	// loggedAt is when each workspace above its share was last logged. aboveBefore holds those of the last computation.
 	loggedAt    map[string]time.Time
@@ -68,6 +69,7 @@
 	// reportedAt is zero if the instance has sent no report to this leader.
 	reportedAt time.Time
 	use        []control.WorkspaceUse
+	ended      *control.EndedCost
 }
 
 // NewAggregator returns an aggregator without reports.
@@ -138,9 +140,15 @@
 		return
 	}
 	r.sequence, r.seenAt = in.Sequence, now
-	r.use, r.reportedAt = nil, time.Time{}
-	if in.ReportsUse {
-		r.use, r.reportedAt = a.validUse(in.Use[:min(len(in.Use), MaxReported)]), now
+	r.use, r.ended, r.reportedAt = nil, nil, time.Time{}
+	if !in.ReportsUse {
+		return
+	}
+	r.use, r.reportedAt = a.validUse(in.Use[:min(len(in.Use), MaxReported)]), now
+	if validEnded(in.Ended) {
+		r.ended = in.Ended
+	} else {
+		a.metrics.invalid.Inc()
 	}
 }
 
@@ -189,8 +197,8 @@
 	elapsed := now.Sub(a.computedAt)
 	a.computedAt = now
 	a.countInstances(now)
-	a.demands = a.sumReports(now)
-	divide(a.demands)
+	a.demands, a.capacity = a.sumReports(now)
+	divide(a.demands, a.capacity)
 	a.smoothRatios(elapsed)
 	a.standings = standingsOf(a.demands)
 	a.logAbove(now)
@@ -218,14 +226,16 @@
 	return !r.reportedAt.IsZero() && now.Sub(r.reportedAt) < reportTTL
 }
 
-// sumReports returns the sums over all current reports for the workspaces of the catalogue. Other workspaces count as absent.
-func (a *Aggregator) sumReports(now time.Time) []demand {
+// sumReports returns the sums over all current reports for the workspaces of the catalogue, and the capacity: what ended at the instances.
+// Other workspaces count as absent. An instance at which nothing ended counts with what it placed: it may be of an earlier version, or its
+// first requests still run.
+func (a *Aggregator) sumReports(now time.Time) (demands []demand, capacity float64) {
 	c := a.catalogue()
 	if c == nil {
-		return nil
+		return nil, 0
 	}
 	index := make(map[string]int, len(c.Workspaces))
-	demands := make([]demand, len(c.Workspaces))
+	demands = make([]demand, len(c.Workspaces))
 	for i, w := range c.Workspaces {
 		index[w.Name] = i
 		demands[i] = demand{workspace: w.Name, weight: validWeight(w.Weight)}
@@ -234,14 +244,19 @@
 		if !r.isCurrent(now) {
 			continue
 		}
+		rate, ended := endedRate(r.ended, now.Sub(r.reportedAt))
+		capacity += rate
 		for _, u := range r.use {
+			if !ended {
+				capacity += u.Served
+			}
 			if i, known := index[u.Workspace]; known {
 				demands[i].asked += u.Asked
 				demands[i].served += u.Served
 			}
 		}
 	}
-	return slices.DeleteFunc(demands, func(d demand) bool { return d.asked == 0 && d.served == 0 })
+	return slices.DeleteFunc(demands, func(d demand) bool { return d.asked == 0 && d.served == 0 }), capacity
 }
 
 // smoothRatios replaces the ratios of the workspaces above their shares by those of their mean use.
--- a/server/shares/fair.go
+++ b/server/shares/fair.go
@@ -13,6 +13,9 @@
 	// aboveMargin is the factor by which a workspace must ask for more than its share to count as above it. It keeps workspaces at
 	// their share from alternating. Below this ratio, the ratio of a workspace above its share is compressed into 1 to aboveMargin.
 	aboveMargin = 1.05
+	// leastPlacedPart is the part of what is placed that counts as the capacity if less ended. When the load rises from far below the capacity,
+	// what ended shows the load of before; what is placed exceeds the capacity by the queues that it fills.
+	leastPlacedPart = 0.7
 	// waitingPart is the part of what a workspace asks for below which the rest counts as waiting demand.
 	waitingPart = 0.95
 )
@@ -27,20 +30,21 @@
 	above, listed bool
 }
 
-// divide computes the fair share and the standing of each workspace. The shares divide what is served in total: they are weighted
-// max-min fair, so no workspace gets more than it asks for, and what it leaves is divided among the others.
+// divide computes the fair share and the standing of each workspace. The shares divide the capacity: they are weighted max-min fair, so no
+// workspace gets more than it asks for, and what it leaves is divided among the others.
 //
 // A workspace that asks for more than its share has the ratio of ratioAbove. Others have the ratio served/asked, at most 1.
-func divide(demands []demand) {
-	capacity, asked := 0.0, 0.0
+func divide(demands []demand, capacity float64) {
+	served, asked := 0.0, 0.0
 	for i := range demands {
 		d := &demands[i]
 		d.asked = max(d.asked, d.served)
-		capacity += d.served
+		served += d.served
 		asked += d.asked
 	}
 	level := math.Inf(1)
-	if capacity < contendedPart*asked {
+	capacity = max(capacity, leastPlacedPart*served)
+	if served < contendedPart*asked && capacity < asked {
 		level = fairLevel(demands, capacity)
 	}
 	for i := range demands {
--- a/server/shares/meter.go
+++ b/server/shares/meter.go
@@ -29,14 +29,20 @@
 	enabled atomic.Bool
 	metrics *instanceMetrics
 
-	mu  sync.Mutex // guards use
-	use map[string]*meteredUse
+	mu    sync.Mutex // guards the fields below
+	use   map[string]*meteredUse
+	ended ended
 }
 
-// meteredUse holds the exponentially decayed sums of the costs at the time at, and the time of the last request.
+// meteredUse holds the use of one workspace.
 type meteredUse struct {
-	asked, served   float64
-	at, lastRequest time.Time
+	// asked and served are the exponentially decayed sums of the costs up to the time at, the last report or the first request.
+	asked, served float64
+	at            time.Time
+	// newAsked and newServed are the costs since then. They are added as if they were spread evenly over that time: a plain decayed sum would
+	// count what comes just before a report for more, and what an instance places changes with the standings that each heartbeat brings.
+	newAsked, newServed float64
+	lastRequest         time.Time
 }
 
 // Enable starts or stops the measurement. A meter that is stopped reports nothing.
@@ -56,11 +62,27 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if u := m.use[workspace]; u != nil {
-		u.decay(now)
-		u.asked, u.served = max(u.asked-cost, 0), max(u.served-cost, 0)
+		u.newAsked, u.asked = takeBack(u.newAsked, u.asked, cost)
+		u.newServed, u.served = takeBack(u.newServed, u.served, cost)
 	}
 }
 
+// takeBack subtracts a cost from the new sum, and what exceeds it from the earlier one.
+func takeBack(recent, earlier, cost float64) (float64, float64) {
+	return max(recent-cost, 0), max(earlier-max(cost-recent, 0), 0)
+}
+
+// Ended counts the end of an attempt that was counted by Served and that may have run. While requests wait for backend servers, what ends
+// shows their capacity; what is placed also fills and empties their queues.
+func (m *Meter) Ended(cost float64, now time.Time) {
+	if !m.enabled.Load() || !validAmount(cost) {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.ended.add(cost, now)
+}
+
 // Refused counts a request that was refused, without having run, because there was no capacity for it.
 func (m *Meter) Refused(workspace string, cost float64, now time.Time) {
 	m.add(workspace, cost, 0, now)
@@ -80,20 +102,34 @@
 		u = &meteredUse{at: now}
 		m.use[workspace] = u
 	}
-	u.decay(now)
-	u.lastRequest = u.at
-	u.asked = min(u.asked+asked, maxAmount)
-	u.served = min(u.served+served, maxAmount)
+	if now.After(u.lastRequest) {
+		u.lastRequest = now
+	}
+	u.newAsked = min(u.newAsked+asked, maxAmount)
+	u.newServed = min(u.newServed+served, maxAmount)
 }
 
-// decay moves the sums to the time now. A time before the last one leaves them as they are.
+// decay moves the sums to the time now. A time before the last one moves no time.
 func (u *meteredUse) decay(now time.Time) {
-	elapsed := now.Sub(u.at)
-	if elapsed <= 0 {
-		return
+	weight := 1.0
+	if elapsed := now.Sub(u.at).Seconds() / AveragingTime.Seconds(); elapsed > 0 {
+		factor := math.Exp(-elapsed)
+		u.asked, u.served, u.at = u.asked*factor, u.served*factor, now
+		weight = -math.Expm1(-elapsed) / elapsed
 	}
-	factor := math.Exp(-elapsed.Seconds() / AveragingTime.Seconds())
-	u.asked, u.served, u.at = u.asked*factor, u.served*factor, now
+	u.asked = min(u.asked+weight*u.newAsked, maxAmount)
+	u.served = min(u.served+weight*u.newServed, maxAmount)
+	u.newAsked, u.newServed = 0, 0
+}
+
+// ReportEnded returns what ended in the last slots, for a heartbeat; nil while the meter is not enabled, and before the first end.
+func (m *Meter) ReportEnded(now time.Time) *control.EndedCost {
+	if !m.enabled.Load() {
+		return nil
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.ended.report(now)
 }
 
 // Report returns the use of the largest workspaces for a heartbeat, and whether the meter is enabled.
--- a/server/syncer/heartbeat.go
+++ b/server/syncer/heartbeat.go
@@ -35,6 +35,7 @@
 type Shares interface {
 	// Report returns the use of the workspaces, and whether it is measured.
 	Report(now time.Time) (use []control.WorkspaceUse, enabled bool)
+	ReportEnded(now time.Time) *control.EndedCost
 	// Apply stores the standings in the reply to the heartbeat that was sent at sentAt.
 	Apply(sentAt time.Time, reply *control.HeartbeatReply)
 }
@@ -110,6 +111,7 @@
 	request.RolloutSamples = h.reporter.RolloutSamples()
 	if h.shares != nil {
 		request.Use, request.ReportsUse = h.shares.Report(sentAt)
+		request.Ended = h.shares.ReportEnded(sentAt)
 	}
 	reply, err := h.leader.Heartbeat(ctx, &request)
 	if err != nil {
--- a/server/syncer/syncer_test.go
+++ b/server/syncer/syncer_test.go
@@ -133,6 +133,13 @@
 	applied int
 }
 
+func (s *workspaceShares) ReportEnded(time.Time) *control.EndedCost {
+	if !s.enabled {
+		return nil
+	}
+	return &control.EndedCost{Costs: []float64{3}}
+}
+
 func (s *workspaceShares) Report(time.Time) ([]control.WorkspaceUse, bool) {
 	if !s.enabled {
 		return nil, false
@@ -151,6 +158,8 @@
 		h.Send(context.Background(), false)
 		Expect(l.requests[0].Use).To(BeNil())
 		Expect(l.requests[0].ReportsUse).To(BeFalse())
+		Expect(l.requests[0].Ended).To(BeNil())
+		Expect(l.requests[1].Ended.Costs).To(Equal([]float64{3}))
 		Expect(l.requests[1].Use).To(Equal([]control.WorkspaceUse{{Workspace: "w", Asked: 2, Served: 1}}))
 		Expect(l.requests[1].ReportsUse).To(BeTrue())
 		Expect(s.applied).To(Equal(1))
