hints: a lower limit of bytes where heartbeats carry the use of workspaces

Cause: with the use and the standings of workspaces, an instance could use 17.1 KB/s for control with 24 workspaces and 20.5 with 200, over the 16 KB/s that a node may use (computed from measured sizes, docs/CAPACITY.md).

Change: hints are limited to 1,700 instead of 4,096 bytes a second there.

Result: 12.4 and 15.8 KB/s (computed).

--- a/server/daemon/entry.go
+++ b/server/daemon/entry.go
@@ -38,11 +38,16 @@
 
 func newRatingsEstimator() *ratings.Estimator { return ratings.NewEstimator() }
 
+// hasOverloadControl reports whether the settings or a contract of the platform ask for overload control.
+func hasOverloadControl(s *settings.Settings, adapter Adapter) bool {
+	return s.OverloadControl || adapter.Features(s.Contracts).OverloadControl
+}
+
 func newEntryHandler(
 	s *settings.Settings, adapter Adapter, identity controlclient.Identity, board *blackboard.Board, client control.Client, holder *limits.Holder,
 	workspaceShares *shares.Instance, estimator *ratings.Estimator, recorder event.Recorder, registerer prometheus.Registerer, logger *slog.Logger,
 ) (*entry.Handler, error) {
-	overloadControl := s.OverloadControl || adapter.Features(s.Contracts).OverloadControl
+	overloadControl := hasOverloadControl(s, adapter)
 	workspaceShares.Enable(overloadControl)
 	return entry.New(entry.Config{
 		Instance: identity.Instance, Boot: identity.Boot, AvailabilityZone: s.AvailabilityZone, Region: s.Region,
@@ -87,12 +92,20 @@
 	}
 }
 
+// hintBytesWithShares limits the hints that an instance sends in a second where heartbeats carry the use of workspaces. Hints in both
+// directions and 12.5 KB/s of other control traffic with 200 workspaces stay within the 16 KB/s that a node may use.
+const hintBytesWithShares = 1700
+
 // startHintExchange starts the exchange of hints with the other entry instances. When the socket can't be opened, requests
 // are placed only by the load that backend servers report, and a session that moves to another entry instance may change
 // its software version.
 func (d *daemon) startHintExchange(ctx context.Context) {
+	limit := 0
+	if hasOverloadControl(d.Settings, d.Adapter) {
+		limit = hintBytesWithShares
+	}
 	exchange, err := hints.Listen(hints.Config{
-		Address: d.Peers.Address(), Boot: d.Member.Boot, Secret: d.Secret, Members: d.memberAddresses,
+		Address: d.Peers.Address(), Boot: d.Member.Boot, Secret: d.Secret, Members: d.memberAddresses, BytesPerSecond: limit,
 		OnHint: func(h hints.Hint) {
 			if h.UnreadTokens != nil {
 				d.handler.ReceiveUnreadTokens(h.Sender, h.Sequence, h.UnreadTokens.Server, float64(h.UnreadTokens.Tokens))
--- a/server/hints/hints.go
+++ b/server/hints/hints.go
@@ -67,10 +67,10 @@
 	maxDatagramBytes   = headerBytes + 8 + 8*maxSessionsPerHint + macBytes
 	// packetOverheadBytes is the size of the IP and UDP headers.
 	packetOverheadBytes = 28
-	// bytesPerSecond limits what an instance sends, and therefore what it receives from all others on average. Hints in both
+	// defaultBytesPerSecond limits what an instance sends, and therefore what it receives from all others on average. Hints in both
 	// directions and the 7.9 KB/s of the other control traffic together stay within the 16 KB/s that a node may use. The
 	// limit allows an instance to report 3 long prompts per second to a fleet of 9 instances, or one in 15 s to 410.
-	bytesPerSecond = 4 << 10
+	defaultBytesPerSecond = 4 << 10
 	// burstBytes is the largest burst. It suffices to send each of 410 instances two hints: an increase of unread tokens and
 	// the later decrease.
 	burstBytes = 60 << 10
@@ -89,6 +89,8 @@
 	Secret []byte
 	// Members returns the UDP addresses of all entry instances; it may include this one.
 	Members func() []string
+	// BytesPerSecond limits what the instance sends. Default 4 KiB.
+	BytesPerSecond int
 	// OnHint is called with each hint of another instance, by a single goroutine.
 	OnHint     func(Hint)
 	Log        *slog.Logger
@@ -117,9 +119,12 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
+	if cfg.BytesPerSecond <= 0 {
+		cfg.BytesPerSecond = defaultBytesPerSecond
+	}
 	e := &Exchange{
 		cfg: cfg, conn: conn, ownAddress: conn.LocalAddr().(*net.UDPAddr).AddrPort(), sender: xxhash.Sum64String(cfg.Boot),
-		queue: make(chan Hint, maxQueuedHints), limiter: rate.NewLimiter(bytesPerSecond, burstBytes),
+		queue: make(chan Hint, maxQueuedHints), limiter: rate.NewLimiter(rate.Limit(cfg.BytesPerSecond), burstBytes),
 		counter: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "clementinetray_hints_total",
 			Help: "Hints between entry instances, by what became of them: sent, received, withheld for the limit of bytes, dropped, refused as not authentic.",
--- a/server/hints/hints_test.go
+++ b/server/hints/hints_test.go
@@ -105,7 +105,7 @@
 		}
 		Expect(time.Since(started)).To(BeNumerically("<", time.Second))
 		const pair = 2 * 409 * (headerBytes + unreadTokensBytes + macBytes + packetOverheadBytes)
-		Expect(accepted).To(BeNumerically("<=", (burstBytes+bytesPerSecond)/pair+1))
+		Expect(accepted).To(BeNumerically("<=", (burstBytes+defaultBytesPerSecond)/pair+1))
 		Expect(a.SendUnreadTokens(1, 0, false)).To(BeTrue(), "a decrease is sent without regard to the limit")
 		Eventually(func() int { return len(a.queue) }).Should(BeZero())
 		Eventually(func() float64 { return testutil.ToFloat64(a.counter.WithLabelValues("sent")) }).Should(BeNumerically("==", accepted+1))
