--- a/review/standin-2/outside.go
+++ b/review/standin-2/outside.go
@@ -107,13 +107,19 @@
 	slots   int
 
 	// bad is set for a server whose software version fails all requests.
-	bad      bool
+	bad bool
+	// work is how long a request takes.
+	work     time.Duration
+	number   int
 	listener net.Listener
 	http     *http.Server
 	sequence atomic.Int64
 	state    atomic.Value
 	stopBeat context.CancelFunc
 
+	connsMu sync.Mutex // guards conns
+	conns   map[net.Conn]struct{}
+
 	mu       *sync.Mutex
 	arrivals *[]arrival
 }
@@ -136,17 +142,32 @@
 		return nil, err
 	}
 	v := &server{
+		number: number, work: 10 * time.Millisecond,
 		s: s, id: fmt.Sprintf("i-%08x", rand.Uint32()), service: service, zone: zone, version: version, bad: bad,
 		address: l.Addr().String(), born: time.Now().UnixMilli(), slots: 64, listener: l, mu: &seen.mu, arrivals: &seen.list,
 	}
+	v.run()
+	return v, nil
+}
+
+// run serves requests and sends heartbeats until the server stops or crashes.
+func (v *server) run() {
 	v.state.Store("ready")
-	v.http = &http.Server{Handler: http.HandlerFunc(v.serve)}
-	go func() { _ = v.http.Serve(l) }()
+	v.conns = map[net.Conn]struct{}{}
+	v.http = &http.Server{Handler: http.HandlerFunc(v.serve), ConnState: func(c net.Conn, state http.ConnState) {
+		v.connsMu.Lock()
+		defer v.connsMu.Unlock()
+		if state == http.StateClosed || state == http.StateHijacked {
+			delete(v.conns, c)
+		} else {
+			v.conns[c] = struct{}{}
+		}
+	}}
+	go func() { _ = v.http.Serve(v.listener) }()
 	ctx, cancel := context.WithCancel(context.Background())
 	v.stopBeat = cancel
 	go v.beat(ctx)
-	s.rec.add("server %s: starts, service %s version %s zone %s at %s", v.id, service, version, zone, v.address)
-	return v, nil
+	v.s.rec.add("server %s: starts, service %s version %s zone %s at %s", v.id, v.service, v.version, v.zone, v.address)
 }
 
 func (v *server) serve(w http.ResponseWriter, r *http.Request) {
@@ -175,7 +196,7 @@
 	v.mu.Unlock()
 	v.s.rec.add("server %s (%s, %s): request %s, answers %d", v.id, v.zone, v.version, id, status)
 	if status == http.StatusOK || status == http.StatusInternalServerError {
-		time.Sleep(10 * time.Millisecond)
+		time.Sleep(v.work)
 		w.Header().Set("X-Response-Stamp", fmt.Sprintf("%s.%s", v.id, id))
 	}
 	body := []byte("answer of " + v.id + " to " + id)
@@ -208,6 +229,37 @@
 	}
 }
 
+// crash ends the server in the middle of its requests: its channels are reset and further ones refused.
+func (v *server) crash() {
+	v.stopBeat()
+	_ = v.listener.Close()
+	v.connsMu.Lock()
+	running := len(v.conns)
+	for c := range v.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+	v.connsMu.Unlock()
+	v.s.rec.add("disruption: server %s (%s) crashes with %d open channels", v.id, v.zone, running)
+	_ = v.http.Close()
+}
+
+// startAgain starts the server as a new boot with a new id at its address.
+func (v *server) startAgain() (*server, error) {
+	l, err := net.Listen("tcp", v.address)
+	if err != nil {
+		return nil, err
+	}
+	next := &server{
+		s: v.s, id: fmt.Sprintf("i-%08x", rand.Uint32()), service: v.service, zone: v.zone, version: v.version, address: v.address,
+		born: time.Now().UnixMilli(), slots: v.slots, work: v.work, number: v.number, listener: l, mu: v.mu, arrivals: v.arrivals,
+	}
+	next.run()
+	return next, nil
+}
+
 // stop ends the server without a word.
 func (v *server) stop() {
 	v.stopBeat()
