--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves out the disruption. Build first: the build line of deploy/system.toml, then review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/clementinetray ] && [ -x target/review-2 ] || { echo "not built"; exit 2; }
-exec target/review-2 first-start review/8/record.txt
+exec target/review-2 late-order review/8/record.txt
