--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -63,6 +64,9 @@
 	// Ports are the same on all machines.
 	frontPort, readyPort, controlPort, internalPort int
 	bounds                                          map[string]any
+	// ended ends when the site is stopped.
+	ended context.Context
+	end   context.CancelFunc
 }
 
 // The program runs in the top folder of the repository, as the platform starts it.
@@ -76,6 +80,7 @@
 		return nil, err
 	}
 	s := &site{rec: rec, folder: folder, template: string(template)}
+	s.ended, s.end = context.WithCancel(context.Background())
 	net3 := 16 + os.Getpid()%200
 	for i, zone := range coreZones {
 		s.cores = append(s.cores, &machine{s: s, name: fmt.Sprintf("core-%s-%d", zone, i+1), zone: zone, ip: fmt.Sprintf("127.%d.1.%d", net3, i+1)})
@@ -293,6 +298,7 @@
 
 // stop ends all processes and removes the folder, unless KEEP is set.
 func (s *site) stop() {
+	s.end()
 	var ended sync.WaitGroup
 	for _, m := range append(append([]*machine{}, s.cores...), s.fronts...) {
 		ended.Add(1)
