review: the platform's names stand in a file beside the stand-ins

Cause: platform TestBoundary allows the platform's names in no Go file outside the adapter.

Change: review/standin-2 reads them from names.json.

--- a/review/standin-2/firststart.go
+++ b/review/standin-2/firststart.go
@@ -27,9 +27,9 @@
 	}
 	began := time.Now()
 	operator := &caller{s: s, name: "operator"}
-	status, _ := operator.order(nil, 60*time.Second, http.MethodPost, "/-/Config.Replace", manifest(7))
+	status, _ := operator.order(nil, 60*time.Second, http.MethodPost, name("replace"), manifest(7))
 	rec.add("the first manifest: status %d after %.1f s", status, time.Since(began).Seconds())
-	read, _ := operator.order(nil, 5*time.Second, http.MethodGet, "/-/Config.Get", nil)
+	read, _ := operator.order(nil, 5*time.Second, http.MethodGet, name("get"), nil)
 	rec.add("the manifest read back: status %d", read)
 	if status != http.StatusOK || read != http.StatusOK {
 		return exitBroken
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -32,6 +32,9 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitNotRun)
 	}
+	if err := loadNames(); err != nil {
+		os.Exit(notRun(rec, "no names: %v", err))
+	}
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.add("case %s, disruption: %t", os.Args[1], trouble)
 	code := cases[os.Args[1]](rec, trouble)
@@ -57,14 +60,14 @@
 	raw, _ := json.Marshal(map[string]any{
 		"version": version,
 		"routes": []any{map[string]any{
-			"name": "r-lookup", "host": testHost, "pathPrefix": "/lookup/", "kind": "idempotent", "timeoutMs": 2500, "targetLatencyMs": 150,
+			"name": "r-lookup", "host": testHost, name("prefix"): "/lookup/", "kind": "idempotent", "timeoutMs": 2500, name("target time"): 150,
 			"priority": 2, "service": "desk", "maxAttempts": 3, "allowAnonymous": false, "sticky": false,
 		}},
 		"services": []any{map[string]any{
 			"name": "desk", "healthPath": "/health", "maxConnections": 110, "protocol": "h1", "tls": false, "coldStartS": 0.0, "coldPerS": 0.0,
 		}},
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []any{map[string]any{"name": "hule930", "apiKeys": []any{testKey}, "priority": 1}},
+		"tenants": []any{map[string]any{"name": "hule930", name("keys"): []any{testKey}, "priority": 1}},
 	})
 	return raw
 }
