--- a/review/standin-2/firststart.go
+++ b/review/standin-2/firststart.go
@@ -1,12 +1,43 @@
 package main
 
 import (
+	"fmt"
 	"net/http"
+	"os"
 	"time"
 )
 
-// firstStart: one process of the core is killed in the first second of the first start and started again by the platform.
+// firstStart: one process of the core is killed in the first second of the first start and loses its disk. The machine restarts at
+// its old address, with an empty folder and bootstrap = false.
 func firstStart(rec *record, trouble bool) int {
+	return playFirstStart(rec, trouble, func(s *site) error {
+		m := s.cores[0]
+		m.kill()
+		if err := os.RemoveAll(m.dataFolder()); err != nil {
+			return err
+		}
+		rec.add("disruption: %s is killed and loses its disk", m.name)
+		time.Sleep(500 * time.Millisecond)
+		return m.start(false)
+	})
+}
+
+// firstStartRemoved: one machine of the core is removed for good in the first second of the first start, and another one is added at a
+// new address, with an empty disk.
+func firstStartRemoved(rec *record, trouble bool) int {
+	return playFirstStart(rec, trouble, func(s *site) error {
+		m := s.cores[1]
+		m.kill()
+		rec.add("disruption: %s is removed for good", m.name)
+		time.Sleep(time.Second)
+		successor := &machine{s: s, name: fmt.Sprintf("core-%s-%d", m.zone, len(s.cores)+1), zone: m.zone, ip: fmt.Sprintf("%s%d", m.ip[:len(m.ip)-1], len(s.cores)+1)}
+		s.cores = append(s.cores, successor)
+		return successor.start(false)
+	})
+}
+
+// playFirstStart starts a site, disturbs it after 0.7 s, and sends and reads back the first manifest.
+func playFirstStart(rec *record, trouble bool, disturb func(s *site) error) int {
 	s, err := newSite(rec, []string{"zone-a", "zone-a", "zone-b", "zone-b", "zone-c"}, []string{"zone-a", "zone-c"})
 	if err != nil {
 		return notRun(rec, "no site: %v", err)
@@ -17,11 +48,7 @@
 	}
 	if trouble {
 		time.Sleep(700 * time.Millisecond)
-		s.cores[0].kill()
-		rec.add("disruption: %s is killed", s.cores[0].name)
-		time.Sleep(500 * time.Millisecond)
-		// The whole system no longer starts for the first time.
-		if err := s.cores[0].start(false); err != nil {
+		if err := disturb(s); err != nil {
 			return notRun(rec, "not started again: %v", err)
 		}
 	}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -19,7 +19,7 @@
 )
 
 var cases = map[string]func(rec *record, trouble bool) int{
-	"late-order": lateOrder, "late-rollout": lateRollout, "first-start": firstStart, "early-answer": earlyAnswer, "popular": popular,
+	"late-order": lateOrder, "late-rollout": lateRollout, "first-start": firstStart, "first-start-removed": firstStartRemoved, "early-answer": earlyAnswer, "popular": popular,
 }
 
 func main() {
--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -146,6 +146,8 @@
 	return fmt.Sprintf("%s:%d", m.ip, m.s.controlPort)
 }
 
+func (m *machine) dataFolder() string { return filepath.Join(m.s.folder, m.name, "data") }
+
 // writeSettings places the settings of the process, as at each of its starts.
 func (m *machine) writeSettings(bootstrap bool) error {
 	s := m.s
@@ -170,8 +172,8 @@
 		fields["machineClass"], fields["role"], fields["serves"], fields["lossCounts"] = "core", "control", []any{"control"}, true
 		fields["listen"] = map[string]any{"control": m.controlAddress()}
 		fields["limits"] = map[string]any{"cpuShare": 0.96, "cores": 1, "memoryMb": 280, "maxFds": 4096, "linkMbps": 1000, "diskMb": 128}
-		fields["dataDir"] = filepath.Join(folder, "data")
-		if err := os.MkdirAll(filepath.Join(folder, "data"), 0o755); err != nil {
+		fields["dataDir"] = m.dataFolder()
+		if err := os.MkdirAll(m.dataFolder(), 0o755); err != nil {
 			return err
 		}
 	}
