entry: the spec of small unfinished bodies waits until they have grown

Cause: the probe of small_bodies_test.go was sent while the 60 bodies still grew. It took room for which one of them was refused, and gave that room back: the 23 that remained left room for each further probe, so that the instance rightly never refused one. Change: new metrics request_body_bytes and refused_bodies_total. The spec waits until the memory in use is that of all bodies that were not refused, each read to its present end. Bounds and checks are as before.

--- a/server/entry/chat.go
+++ b/server/entry/chat.go
@@ -81,6 +81,7 @@
 	switch {
 	case errBufferFull.Has(err):
 		share.release()
+		h.metrics.refusedBodies.Inc()
 		// A caller that is still sending might not read the refusal.
 		_, _ = io.Copy(io.Discard, limited)
 		_ = control.SetReadDeadline(time.Time{})
--- a/server/entry/handler.go
+++ b/server/entry/handler.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-chi/chi/v5"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"clementinetray/api/catalogue"
 	"clementinetray/api/event"
@@ -122,9 +123,11 @@
 		balance: balance.NewTracker(balance.Options{LearnedRates: cfg.OverloadControl, UsualPlacement: !cfg.TimedPlacement}), boundSessions: newBoundSessions(), oldVersionSessions: newKeptSessions(), answeredRequests: newAnsweredSet(), parts: newPartWatch(), rollouts: newRolloutTimes(), rolloutSamples: newRolloutSamples(), budgets: map[string]*retry.Budget{},
 		idle: make(chan struct{}), stopBackground: stop,
 	}
-	if err := cfg.Registerer.Register(newRateCollector(h.balance)); err != nil {
-		stop()
-		return nil, Error.Wrap(err)
+	for _, c := range []prometheus.Collector{newRateCollector(h.balance), newBodyGauge(&h.requestBuffer)} {
+		if err := cfg.Registerer.Register(c); err != nil {
+			stop()
+			return nil, Error.Wrap(err)
+		}
 	}
 	if h.dialer, err = h.newDialer(); err != nil {
 		stop()
--- a/server/entry/metrics.go
+++ b/server/entry/metrics.go
@@ -26,6 +26,7 @@
 	admissions        *prometheus.CounterVec
 	largerModels      *prometheus.CounterVec
 	answerBufferBytes prometheus.Gauge
+	refusedBodies     prometheus.Counter
 	firstTokenSeconds prometheus.Histogram
 }
 
@@ -59,6 +60,7 @@
 		openRequests:      gauge("open_requests", "Requests that have not ended."),
 		waitingRequests:   gauge("waiting_requests", "Requests that wait for a backend server."),
 		answerBufferBytes: gauge("answer_buffer_bytes", "Bytes of stream events kept for callers that reconnect."),
+		refusedBodies:     counter("refused_bodies_total", "Bodies for which there was no memory, counted before the rest of the body is read and the refusal is sent."),
 		admissions: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: metricNamespace, Subsystem: "entry", Name: "admissions_total", Help: "Decisions of overload control by decision and reason.",
 		}, []string{"decision", "reason"}),
@@ -70,7 +72,7 @@
 	}
 	for _, c := range []prometheus.Collector{
 		m.requests, m.refusals, m.attempts, m.droppedAnswers, m.bills, m.ratings, m.retries, m.continuedStreams, m.crashes, m.serverStatements, m.lateBills,
-		m.panics, m.queuedBills, m.openRequests, m.waitingRequests, m.admissions, m.largerModels, m.answerBufferBytes, m.firstTokenSeconds,
+		m.panics, m.queuedBills, m.openRequests, m.waitingRequests, m.admissions, m.largerModels, m.answerBufferBytes, m.refusedBodies, m.firstTokenSeconds,
 	} {
 		if err := r.Register(c); err != nil {
 			return nil, Error.Wrap(err)
@@ -80,3 +82,10 @@
 }
 
 func (m *metrics) addWaiting(change int) { m.waitingRequests.Add(float64(change)) }
+
+// newBodyGauge returns a gauge of the memory that the bodies of requests take.
+func newBodyGauge(bodies *byteBudget) prometheus.Collector {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: metricNamespace, Subsystem: "entry", Name: "request_body_bytes", Help: "Memory that buffered bodies of requests take, in bytes.",
+	}, func() float64 { return float64(bodies.used.Load()) })
+}
--- a/server/entry/small_bodies_test.go
+++ b/server/entry/small_bodies_test.go
@@ -19,14 +19,19 @@
 var _ = Describe("bodies that are small or decode to much", func() {
 	// Guards against small bodies that count toward no bound: thousands of unfinished ones use up the memory of the instance.
 	It("are refused as not run while unfinished small ones take the memory, and served afterwards", func() {
-		const bodyBytes = 30 << 10
+		const (
+			bodyBytes = 30 << 10
+			bodies    = 60
+			// bodyMemory is the memory that a body of this size takes once it is read.
+			bodyMemory = 32 << 10
+		)
 		s := newHarness(func(c *entry.Config) { c.RequestBuffer = 1 << 20 })
 		s.setRoute(catalogue.Route{Kind: catalogue.KindNonIdempotent, TimeLimitMillis: 20_000})
 		s.addServers("v1", newBackend("b1", respond(http.StatusOK, "well")))
 		text := strings.Repeat("x", bodyBytes)
 		release := make(chan struct{})
 		var callers sync.WaitGroup
-		for range 60 {
+		for range bodies {
 			callers.Go(func() {
 				defer GinkgoRecover()
 				rest, end := io.Pipe()
@@ -43,6 +48,12 @@
 				}
 			})
 		}
+		// A request that is sent while the bodies still grow takes room for which one of them is refused, and gives it back: those that
+		// remain then leave room for each further request.
+		Eventually(func() float64 {
+			admitted := bodies - counterValue(s, "clementinetray_entry_refused_bodies_total", "")
+			return admitted*bodyMemory - counterValue(s, "clementinetray_entry_request_body_bytes", "")
+		}, 15*time.Second).Should(BeZero(), "bytes that admitted bodies have yet to grow")
 		Eventually(func() problem.Reason {
 			return send(s.request("POST", "/r/x", text)).problem.Reason
 		}, 15*time.Second).Should(Equal(problem.Overloaded))
