controlsvc: a late copy of an order no longer undoes a newer one

Seen: an operator took an evacuation back at a control process that stood still, got the confirmation from another one and evacuated the zone again. In the same way a roll-out that was rolled back took the place of a newer, confirmed one. Cause: orders of the platform have no identity. Each copy got a request id of its own and applied to the latest revision, whichever that was when the copy reached the leader, and a follower passed a request on although its caller had left. Change: the replica that reads a change to the latest revision confirms the current revision with the group, then checks that the caller still waits, and passes the change on with that revision as its base. Whatever the caller orders later gets a higher revision, so that a copy which is held up after the check, in the process, on the link, in the leader or in a log, is a conflict. Before the check the connection decides: its end as the kernel knows it, and its age, in which the time counts that the process or its machine stood still (clock.Stalls). An older follower goes on as before until it is replaced.

--- a/api/control/operator.go
+++ b/api/control/operator.go
@@ -39,7 +39,8 @@
 	// DryRun returns the result that the change would have, without applying it.
 	DryRun bool `json:"dry_run,omitempty"`
 	// Latest applies the change to the current revision and ignores BaseRevision. It is meant for orders that state the wanted
-	// result, so that sending them again changes nothing.
+	// result, so that sending them again changes nothing else. The replica that reads the request replaces it by the revision that is
+	// current then, while its caller waits, so that a copy which arrives after a later change doesn't undo that.
 	Latest bool `json:"latest,omitempty"`
 }
 
--- a/server/callerconn/callerconn.go
+++ b/server/callerconn/callerconn.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"clementinetray/server/clock"
 	"clementinetray/server/connlimit"
 )
 
@@ -81,6 +82,9 @@
 			return nil, err
 		}
 		c := &conn{Conn: accepted, guard: l.guard, listener: l.name, limits: l.limits}
+		if l.guard.config.Stalls != nil && l.name != CallerListener {
+			c.tracksAge, c.unansweredSince = true, l.guard.config.Stalls.EarliestArrival()
+		}
 		if l.guard.add(c) {
 			return c, nil
 		}
@@ -108,9 +112,14 @@
 	listener string
 	limits   func() Limits // nil without HTTP
 	entry    *connlimit.Conn
+	// tracksAge is set if unansweredSince is kept, which takes a system call for each request.
+	tracksAge bool
 
 	mu    sync.Mutex // guards the fields below
 	phase phase
+	// unansweredSince is the earliest time, on the clock of clock.Elapsed, at which the client can have sent the request that is being
+	// read or served.
+	unansweredSince time.Duration
 	// deadline is the read deadline of phaseIdle and phaseHeader; readDeadline and writeDeadline are those that were set from outside.
 	deadline                    time.Time
 	readDeadline, writeDeadline time.Time
@@ -136,6 +145,9 @@
 	defer c.mu.Unlock()
 	switch state {
 	case http.StateNew, http.StateIdle:
+		if state == http.StateIdle && c.tracksAge {
+			c.unansweredSince = clock.Elapsed()
+		}
 		c.phase, c.deadline = phaseIdle, time.Now().Add(c.limits().IdleTimeout)
 		c.readDeadline = time.Time{}
 		c.releaseHeader()
--- a/server/callerconn/guard.go
+++ b/server/callerconn/guard.go
@@ -11,6 +11,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"clementinetray/server/clock"
 	"clementinetray/server/connlimit"
 )
 
@@ -29,8 +30,10 @@
 	WriteProgress time.Duration
 	// SocketBuffer is the size in bytes of the kernel's buffers for each direction of a connection.
 	SocketBuffer int
-	Registerer   prometheus.Registerer
-	Log          *slog.Logger
+	// Stalls tells how old a new connection may be. Without it the age of requests is not known. Nor is that of requests of callers.
+	Stalls     *clock.Stalls
+	Registerer prometheus.Registerer
+	Log        *slog.Logger
 }
 
 // Guard applies limits to the connections of all listeners of a process. It is safe for concurrent use.
--- a/server/controlsvc/operator.go
+++ b/server/controlsvc/operator.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -47,7 +48,7 @@
 		s.Logger.Error("can't build the request of an operator call", "target", target, "error", err)
 		return http.StatusInternalServerError, nil
 	}
-	w := &replyWriter{header: http.Header{}, status: http.StatusOK}
+	w := newReplyWriter()
 	s.serveOnLeader(w, r)
 	return w.status, w.body.Bytes()
 }
@@ -124,7 +125,7 @@
 	Body       []byte
 }
 
-// serveOnLeader answers the request on the leader and forwards it from a follower.
+// serveOnLeader reads the request, answers it on the leader and forwards it from a follower.
 func (s *Service) serveOnLeader(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxOperatorBodyBytes))
 	if err != nil {
@@ -140,13 +141,31 @@
 		problem.New(problem.InvalidRequest, err.Error()).Write(w)
 		return
 	}
+	if !s.knowsLeader() {
+		writeUnavailable(w, "no control leader is known")
+		return
+	}
+	if change, ok := parseLatest(body); ok {
+		s.serveLatest(w, r, change)
+		return
+	}
+	s.answerOnLeader(w, r, body)
+}
+
+func (s *Service) knowsLeader() bool {
+	l, _ := s.Log.LeadershipChanged()
+	return l.Leader || l.LeaderAddress != "" && l.LeaderAddress != s.PeerAddress
+}
+
+// answerOnLeader answers the request with the body on the leader and forwards it from a follower.
+func (s *Service) answerOnLeader(w http.ResponseWriter, r *http.Request, body []byte) {
 	l, _ := s.Log.LeadershipChanged()
 	if l.Leader {
 		r.Body = io.NopCloser(bytes.NewReader(body))
 		s.router.ServeHTTP(w, r)
 		return
 	}
-	if l.LeaderAddress == "" || l.LeaderAddress == s.PeerAddress {
+	if !s.knowsLeader() {
 		writeUnavailable(w, "no control leader is known")
 		return
 	}
@@ -184,7 +203,7 @@
 	if err != nil {
 		return control.ErrInvalid.Wrap(err)
 	}
-	w := &replyWriter{header: http.Header{}, status: http.StatusOK}
+	w := newReplyWriter()
 	s.router.ServeHTTP(w, r)
 	out.Status, out.Body = w.status, w.body.Bytes()
 	out.Type, out.RetryAfter = w.header.Get("Content-Type"), w.header.Get("Retry-After")
@@ -199,6 +218,21 @@
 	body   bytes.Buffer
 }
 
+func newReplyWriter() *replyWriter { return &replyWriter{header: http.Header{}, status: http.StatusOK} }
+
+// isConflict reports whether the answer refuses a change whose base revision is not the current one.
+func (w *replyWriter) isConflict() bool {
+	answer := problem.Problem{}
+	return w.status == http.StatusConflict && json.Unmarshal(w.body.Bytes(), &answer) == nil && answer.Reason == problem.RevisionConflict
+}
+
+// copyTo sends the answer.
+func (w *replyWriter) copyTo(out http.ResponseWriter) {
+	maps.Copy(out.Header(), w.header)
+	out.WriteHeader(w.status)
+	_, _ = out.Write(w.body.Bytes())
+}
+
 func (w *replyWriter) Header() http.Header         { return w.header }
 func (w *replyWriter) WriteHeader(status int)      { w.status = status }
 func (w *replyWriter) Write(p []byte) (int, error) { return w.body.Write(p) }
--- a/server/controlsvc/service.go
+++ b/server/controlsvc/service.go
@@ -11,6 +11,7 @@
 
 	"clementinetray/api/control"
 	"clementinetray/api/event"
+	"clementinetray/server/callerconn"
 	"clementinetray/server/controlclient"
 	"clementinetray/server/controlstate"
 	"clementinetray/server/fleet"
@@ -46,7 +47,7 @@
 }
 
 // Config holds the dependencies of a Service. All fields except OutcomeSinks, ServiceRollouts, Shares, LeaderControllers,
-// ToleratedLosses and Now are required.
+// ToleratedLosses, CheckWaiting and Now are required.
 type Config struct {
 	Log   replica.Log
 	State *controlstate.State
@@ -71,7 +72,10 @@
 	PeerAddress string
 	// ToleratedLosses is the number of data folders that can be lost at once without losing a confirmed change.
 	ToleratedLosses int
-	Logger          *slog.Logger
+	// CheckWaiting returns an error if the caller of an operator's request with this context has given it up, or may have done so.
+	// Default callerconn.CheckWaiting.
+	CheckWaiting func(context.Context) error
+	Logger       *slog.Logger
 	// Now is the clock. Default time.Now.
 	Now func() time.Time
 }
@@ -95,6 +99,9 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
+	if c.CheckWaiting == nil {
+		c.CheckWaiting = callerconn.CheckWaiting
+	}
 	s := &Service{Config: c, members: newMemberTable()}
 	s.batcher = newBatcher(c.Proposer)
 	s.limitSource = &limitSource{state: c.State, table: c.FleetTable, now: c.Now}
--- a/server/daemon/clientlimits.go
+++ b/server/daemon/clientlimits.go
@@ -7,6 +7,7 @@
 	"golang.org/x/sys/unix"
 
 	"clementinetray/server/callerconn"
+	"clementinetray/server/clock"
 	"clementinetray/server/connlimit"
 	"clementinetray/server/jsonbound"
 	"clementinetray/server/settings"
@@ -32,7 +33,7 @@
 )
 
 // newGuard returns the guard of the process's listeners. Its defaults follow from the limits of memory and descriptors.
-func newGuard(s *settings.Settings, registerer prometheus.Registerer, logger *slog.Logger) *callerconn.Guard {
+func newGuard(s *settings.Settings, stalls *clock.Stalls, registerer prometheus.Registerer, logger *slog.Logger) *callerconn.Guard {
 	connections := s.MaxConnections
 	if connections == 0 {
 		connections = defaultConnections(descriptorLimit(s), s.MemoryLimitMB)
@@ -47,7 +48,7 @@
 	return callerconn.NewGuard(callerconn.Config{
 		Connections: connlimit.DeriveLimits(connections), MaxHeaderBytes: s.MaxHeaderBytes, MaxHeaderFields: s.MaxHeaderFields,
 		HeaderMemory: headerMemory, BodyMemory: bodyMemory, BodyProgress: s.BodyProgress, MinBodyRate: s.MinBodyRate,
-		WriteProgress: s.WriteProgress, SocketBuffer: s.SocketBufferBytes, Registerer: registerer, Log: logger,
+		WriteProgress: s.WriteProgress, SocketBuffer: s.SocketBufferBytes, Stalls: stalls, Registerer: registerer, Log: logger,
 	})
 }
 
--- a/server/daemon/container.go
+++ b/server/daemon/container.go
@@ -17,6 +17,7 @@
 	"clementinetray/api/event"
 	"clementinetray/server/blackboard"
 	"clementinetray/server/callerconn"
+	"clementinetray/server/clock"
 	"clementinetray/server/controlclient"
 	"clementinetray/server/logging"
 	"clementinetray/server/peer"
@@ -36,7 +37,7 @@
 	constructors := []any{
 		func() *settings.Settings { return s },
 		func() Adapter { return adapter },
-		newLogWriter, newLogger, newIdentity, newSecret, newPeerPool, newPeerServer, newGuard, newTimelineRing, newRegistry, newControlClient, newMember,
+		newLogWriter, newLogger, newIdentity, newSecret, newPeerPool, newPeerServer, clock.NewStalls, newGuard, newTimelineRing, newRegistry, newControlClient, newMember,
 		blackboard.New,
 		func() *event.Clock { return &event.Clock{} },
 		func(ring *timeline.Ring) event.Recorder { return ring },
--- a/server/daemon/daemon.go
+++ b/server/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"clementinetray/server/announce"
 	"clementinetray/server/blackboard"
 	"clementinetray/server/callerconn"
+	"clementinetray/server/clock"
 	"clementinetray/server/controlclient"
 	"clementinetray/server/controlsvc"
 	"clementinetray/server/entry"
@@ -73,6 +74,7 @@
 	Recorder event.Recorder
 	Peers    *peer.Server
 	Guard    *callerconn.Guard
+	Stalls   *clock.Stalls
 	Pool     *peer.Pool
 	Board    *blackboard.Board
 	Registry *prometheus.Registry
@@ -156,6 +158,8 @@
 		d.startHintExchange(ctx)
 	}
 	if d.service != nil {
+		// Only operators' changes are checked for their age.
+		d.startTask(func() { d.Stalls.Run(ctx) })
 		d.startTask(func() { d.reportFailure(d.service.Run(ctx)) })
 		d.startTask(func() { d.watchReplica(ctx) })
 	}
--- a/server/entry/linkstate.go
+++ b/server/entry/linkstate.go
@@ -2,10 +2,11 @@
 
 import (
 	"net"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"clementinetray/server/tcpinfo"
 )
 
 // linkState is what the kernel knows of the other end of a connection that delivers nothing.
@@ -31,20 +32,10 @@
 
 // readLinkState returns the state of a connection.
 func readLinkState(conn net.Conn) linkState {
-	kernelConn, ok := conn.(syscall.Conn)
+	info, ok := tcpinfo.Read(conn)
 	if !ok {
 		return linkUnknown
 	}
-	raw, err := kernelConn.SyscallConn()
-	if err != nil {
-		return linkUnknown
-	}
-	var info *unix.TCPInfo
-	var infoErr error
-	err = raw.Control(func(fd uintptr) { info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
-	if err != nil || infoErr != nil {
-		return linkUnknown
-	}
 	return classifyLink(info)
 }
 
--- a/standin/e2e/faults_test.go
+++ b/standin/e2e/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -167,6 +168,34 @@
 		}
 		Expect(f.engine("cheap-south").Received()).To(Equal(before))
 	})
+
+	// Guards against an order that its caller gave up while the instance stood still, and that undoes a newer order afterwards.
+	DescribeTable("does not let a thawed instance carry out an order that was given up meanwhile",
+		func(choose func(*fixture) *site.Instance) {
+			f := startSite(site.Config{ControlCount: 3}, nil)
+			order := func(out bool) {
+				GinkgoHelper()
+				Eventually(func() (int, error) {
+					return f.OrderLatest(f.Instances[rand.IntN(len(f.Instances))], "zones/south", out, time.Second)
+				}).WithTimeout(15 * time.Second).Should(Equal(http.StatusOK))
+			}
+			order(true)
+			frozen := choose(f)
+			Expect(frozen.Signal(syscall.SIGSTOP)).To(Succeed())
+			Expect(f.OrderLatest(frozen, "zones/south", false, time.Second)).To(BeZero())
+			order(false)
+			order(true)
+			Expect(frozen.Signal(syscall.SIGCONT)).To(Succeed())
+			southIsOut := func() bool {
+				status, err := f.Status(frozen)
+				return err == nil && status.Orders.ZonesOut["south"] != control.Order{}
+			}
+			Eventually(southIsOut).Should(BeTrue())
+			Consistently(southIsOut, "2s").Should(BeTrue())
+		},
+		Entry("a follower", func(f *fixture) *site.Instance { return f.otherInstances(f.leader())[0] }),
+		Entry("the leader", (*fixture).leader),
+	)
 })
 
 var _ = Describe("an entry instance that is silently cut off", func() {
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -8,6 +8,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -357,6 +358,22 @@
 	return s.callOperatorAPI(http.MethodPost, instance, "/v1/"+subject, order, &control.ChangeReply{})
 }
 
+// OrderLatest sends a copy of an order that applies to the latest revision to the given control instance and closes the connection after
+// patience, as callers do that move on to another instance. It returns the HTTP status, or 0 if no answer came.
+func (s *Site) OrderLatest(instance *Instance, subject string, out bool, patience time.Duration) (int, error) {
+	order := control.OrderRequest{ChangeBase: control.ChangeBase{RequestID: uuid.NewString(), By: "site", Latest: true}, Out: out, Force: true}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	resp, err := s.sendOperatorRequest(ctx, http.MethodPost, instance, "/v1/"+subject, order)
+	if errors.Is(err, context.DeadlineExceeded) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	return resp.StatusCode, Error.Wrap(resp.Body.Close())
+}
+
 // TakeOutAt takes a zone or backend server out of service, based on the given revision, and returns the HTTP status. If
 // requestID is empty, it generates one.
 func (s *Site) TakeOutAt(instance *Instance, subject string, baseRevision uint64, requestID string) (int, error) {
@@ -366,7 +383,7 @@
 	order := control.OrderRequest{
 		ChangeBase: control.ChangeBase{BaseRevision: baseRevision, RequestID: requestID, By: requestID}, Out: true, Force: true,
 	}
-	resp, err := s.sendOperatorRequest(http.MethodPost, instance, "/v1/"+subject, order)
+	resp, err := s.sendOperatorRequest(context.Background(), http.MethodPost, instance, "/v1/"+subject, order)
 	if err != nil {
 		return 0, err
 	}
@@ -432,7 +449,7 @@
 // callOperatorAPI sends a request to the operator API of an instance and decodes the JSON answer into out. A status other
 // than 200 is an error.
 func (s *Site) callOperatorAPI(method string, instance *Instance, path string, in, out any) error {
-	resp, err := s.sendOperatorRequest(method, instance, path, in)
+	resp, err := s.sendOperatorRequest(context.Background(), method, instance, path, in)
 	if err != nil {
 		return err
 	}
@@ -445,12 +462,12 @@
 }
 
 // sendOperatorRequest sends a request with the operators' token to an instance. The caller closes the response body.
-func (s *Site) sendOperatorRequest(method string, instance *Instance, path string, in any) (*http.Response, error) {
+func (s *Site) sendOperatorRequest(ctx context.Context, method string, instance *Instance, path string, in any) (*http.Response, error) {
 	raw, err := json.Marshal(in)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	req, err := http.NewRequest(method, "http://"+instance.Operators+path, bytes.NewReader(raw))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+instance.Operators+path, bytes.NewReader(raw))
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
