entry, relay: an answer that a reset breaks off is not taken as complete

Seen: backend servers that answer a long request before they have read it, without a length, and reset the connection in the middle of some answers. Cause: the kernel reports a reset once, to the call that comes first, and an orderly end to the others. The write of the request was blocked and took the error, so that the read of the answer ended with io.EOF. The relay allowed for that, direct connections did not. Change: package tcpend decides how a connection ended; direct connections and the relay both use it. After io.EOF on a connection that the other end has closed in order (CLOSE_WAIT) the end is known at once; otherwise the write that has the error is awaited. Any error of a write but EPIPE shows that the connection broke: after an orderly end the kernel reports EPIPE. In the relay an unreachable host or network is now the end of its own path. An answer that ends in order before the request is read is not delayed.

--- a/server/entry/conn.go
+++ b/server/entry/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -12,6 +13,7 @@
 
 	"clementinetray/server/peer"
 	"clementinetray/server/relay"
+	"clementinetray/server/tcpend"
 )
 
 // errSealed is returned by writes to a connection after its attempt was abandoned.
@@ -34,9 +36,11 @@
 	isStray bool
 	// onClose is called at the first Close, if it isn't nil.
 	onClose func()
-	mu      sync.Mutex // guards writes and sealed
-	writes  int
-	sealed  bool
+	// ends tells how a direct connection ended.
+	ends   tcpend.Watch
+	mu     sync.Mutex // guards writes and sealed
+	writes int
+	sealed bool
 }
 
 // deliveryInterval is short beside the 120 ms after which a dial that fails casts doubt on the paths.
@@ -53,9 +57,13 @@
 	return pathDirect
 }
 
-// Read notes that a direct connection delivers bytes.
+// Read notes that a direct connection delivers bytes. Its error is io.EOF only after an orderly end, as that ends an answer without a
+// length. A relay tells by itself how the connection to the backend server ended.
 func (c *sealableConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if err == io.EOF && c.relayed == nil {
+		err = c.ends.End(c.Conn)
+	}
 	if n > 0 && c.paths != nil {
 		c.paths.noteRead()
 		if now := time.Now(); c.onDelivery != nil && now.Sub(c.lastDelivery) >= deliveryInterval {
@@ -75,7 +83,7 @@
 	}
 	c.writes++
 	c.mu.Unlock()
-	return c.Conn.Write(p)
+	return c.ends.Write(c.Conn, p)
 }
 
 // Close closes the connection.
--- a/server/relay/ends_test.go
+++ b/server/relay/ends_test.go
@@ -21,7 +21,42 @@
 	return 0, &net.OpError{Op: "read", Net: "tcp", Err: syscall.ETIMEDOUT}
 }
 
+// unreachableConn is a connection on which a write finds that the network can't be reached, upon which the reads end.
+type unreachableConn struct {
+	net.Conn
+	failed chan struct{}
+}
+
+func (c unreachableConn) Write([]byte) (int, error) {
+	close(c.failed)
+	return 0, &net.OpError{Op: "write", Net: "tcp", Err: os.NewSyscallError("write", syscall.EHOSTUNREACH)}
+}
+
+func (c unreachableConn) Read([]byte) (int, error) {
+	<-c.failed
+	return 0, io.EOF
+}
+
 var _ = Describe("a relayed connection whose relay loses its own paths", func() {
+	// Guards against an answer without a length that counts as whole, because a write of the relay took the error of a lost path.
+	It("ends as that of a broken relay when a write finds the network unreachable", func() {
+		cut, other := newInstance("e1", "a", 10), newInstance("e2", "a", 10)
+		cut.setDirect(refuse)
+		other.setDirect(func(_ context.Context, address string, timeout time.Duration) (net.Conn, error) {
+			conn, err := net.DialTimeout("tcp", address, timeout)
+			return unreachableConn{conn, make(chan struct{})}, err
+		})
+		s := newTCPServer(echo)
+		publish(map[string]string{"s": s.address()}, cut, other)
+		conn := mustRelay(cut, "s", s.address())
+		_, err := conn.Write([]byte("request"))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.ReadAll(conn)
+		Expect(errors.Is(err, io.ErrUnexpectedEOF)).To(BeTrue(), "%v", err)
+		Expect(conn.RelayBroke()).To(BeTrue())
+	})
+
+
 	// Guards against sound backend servers that are suspected because the path between them and the relay was lost.
 	It("ends as that of a broken relay when the relay's connection times out", func() {
 		cut, other := newInstance("e1", "a", 10), newInstance("e2", "a", 10)
--- a/server/relay/server.go
+++ b/server/relay/server.go
@@ -18,6 +18,7 @@
 
 	"clementinetray/server/blackboard"
 	"clementinetray/server/peer"
+	"clementinetray/server/tcpend"
 )
 
 const (
@@ -36,8 +37,6 @@
 	// brokenCloseTimeout after the backend server's connection broke.
 	closeTimeout       = 15 * time.Second
 	brokenCloseTimeout = 500 * time.Millisecond
-	// resetWait bounds the wait for a write that may have found the backend server's connection broken.
-	resetWait = 50 * time.Millisecond
 	// extraConnections is the number of proven connections above the bound on which a reply that there is no capacity is still written.
 	extraConnections = 32
 	// minAcceptPause and maxAcceptPause limit the pause after an accept that failed for a lack of descriptors or memory.
@@ -288,10 +287,8 @@
 	// the backend server.
 	deadlineMu  sync.Mutex
 	serverEnded atomic.Bool
-	// writing is set during a write to the backend server. broken is ECONNRESET or ETIMEDOUT after one that failed with it: that write
-	// takes the error from the socket, so that a read that follows ends as after an orderly end.
-	writing atomic.Bool
-	broken  atomic.Pointer[syscall.Errno]
+	// ends tells how the backend server's connection ended.
+	ends tcpend.Watch
 }
 
 func (f *forwarding) touch() { f.active.Store(int64(time.Since(f.began))) }
@@ -356,8 +353,8 @@
 	for {
 		n, err := f.read(f.caller, buffer[frameHead:])
 		if n > 0 && !discard {
-			discard = !f.writeToServer(buffer[frameHead : frameHead+n])
-			if !discard {
+			_, err := f.ends.Write(f.server, buffer[frameHead:frameHead+n])
+			if discard = err != nil; !discard {
 				copied += int64(n)
 			}
 		}
@@ -367,29 +364,6 @@
 	}
 }
 
-func (f *forwarding) writeToServer(p []byte) bool {
-	f.writing.Store(true)
-	defer f.writing.Store(false)
-	_, err := f.server.Write(p)
-	var number syscall.Errno
-	if errors.As(err, &number) && (number == syscall.ECONNRESET || number == syscall.ETIMEDOUT) {
-		f.broken.Store(&number)
-	}
-	return err == nil
-}
-
-// endOfServer returns why reads from the backend server end: io.EOF, or the error with which a write found the connection broken. A write
-// on such a connection fails at once; the short wait covers one that has taken the error and not returned yet.
-func (f *forwarding) endOfServer() error {
-	for end := time.Now().Add(resetWait); f.writing.Load() && time.Now().Before(end); {
-		time.Sleep(time.Millisecond)
-	}
-	if number := f.broken.Load(); number != nil {
-		return *number
-	}
-	return io.EOF
-}
-
 // end is the way in which the copying from the backend server ended.
 type end int
 
@@ -417,7 +391,7 @@
 		}
 		if err != nil {
 			if errors.Is(err, io.EOF) {
-				err = f.endOfServer()
+				err = f.ends.End(f.server)
 			}
 			return copied, f.writeEnd(err)
 		}
@@ -429,7 +403,8 @@
 func (f *forwarding) writeEnd(err error) (how end) {
 	var frame [frameHead]byte
 	switch {
-	case errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, syscall.ETIMEDOUT):
+	case errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, syscall.ETIMEDOUT),
+		errors.Is(err, syscall.EHOSTUNREACH), errors.Is(err, syscall.ENETUNREACH):
 		return ownEnd
 	case errors.Is(err, io.EOF):
 		binary.BigEndian.PutUint16(frame[:], endFrame)
