--- a/server/relay/ends_test.go
+++ b/server/relay/ends_test.go
@@ -56,7 +56,6 @@
 		Expect(conn.RelayBroke()).To(BeTrue())
 	})
 
-
 	// Guards against sound backend servers that are suspected because the path between them and the relay was lost.
 	It("ends as that of a broken relay when the relay's connection times out", func() {
 		cut, other := newInstance("e1", "a", 10), newInstance("e2", "a", 10)
