entry, relay: a request that was given up is not delivered after a cut

Seen: requests of the first moments of a cut ran at servers of a zone 5 to 6 s after its evacuation was confirmed, when the cut had ended. Cause: the connection of an attempt that is given up was closed in order. The kernel goes on sending what was not acknowledged. Change: a connection that holds bytes of a request which the other end has not acknowledged is reset when it is closed, to backend servers and relays. Evidence: the new spec failed before, as the server got the request after the cut.

--- a/server/entry/conn.go
+++ b/server/entry/conn.go
@@ -86,7 +86,7 @@
 	return c.ends.Write(c.Conn, p)
 }
 
-// Close closes the connection.
+// Close closes the connection. A request that was not delivered is dropped.
 func (c *sealableConn) Close() error {
 	c.mu.Lock()
 	onClose := c.onClose
@@ -95,7 +95,7 @@
 	if onClose != nil {
 		onClose()
 	}
-	return c.Conn.Close()
+	return tcpend.Close(c.Conn)
 }
 
 // writeCount returns the number of writes that were started.
--- a/server/relay/conn.go
+++ b/server/relay/conn.go
@@ -12,6 +12,8 @@
 	"syscall"
 
 	"github.com/zeebo/errs"
+
+	"clementinetray/server/tcpend"
 )
 
 // errRelayEnded is the error of a read or write when the relay, not the backend server, ended the connection.
@@ -103,9 +105,9 @@
 // closes the connection after it told the end of the backend server's has not broken it.
 func (c *Conn) RelayBroke() bool { return c.broke.Load() && !c.told.Load() }
 
-// Close closes the connection, upon which the relay closes that to the backend server.
+// Close closes the connection, upon which the relay closes that to the backend server. A request that was not delivered is dropped.
 func (c *Conn) Close() error {
-	err := c.Conn.Close()
+	err := tcpend.Close(c.Conn)
 	c.closeOnce.Do(func() { c.onClose(c.RelayBroke()) })
 	return err
 }
--- a/server/relay/server.go
+++ b/server/relay/server.go
@@ -305,7 +305,7 @@
 	toServer.Go(func() {
 		s.metrics.bytes.WithLabelValues("to_server").Add(float64(f.copyToServer()))
 		// The caller is gone: what the server answers is of no use.
-		_ = server.Close()
+		_ = tcpend.Close(server)
 	})
 	copied, end := f.copyFromServer()
 	s.metrics.bytes.WithLabelValues("from_server").Add(float64(copied))
@@ -317,7 +317,7 @@
 		timeout = brokenCloseTimeout
 	case callerEnd:
 		// A write to the server that doesn't read would otherwise delay the close.
-		_ = server.Close()
+		_ = tcpend.Close(server)
 	}
 	f.endServer(timeout)
 	toServer.Wait()
--- a/server/tcpend/tcpend.go
+++ b/server/tcpend/tcpend.go
@@ -1,4 +1,5 @@
-// Package tcpend decides whether a TCP connection whose reads have ended was closed in order or broke.
+// Package tcpend decides whether a TCP connection whose reads have ended was closed in order or broke, and how a connection is closed
+// that may hold an unwanted request.
 //
 // The kernel reports a reset or a timeout once, to the call that comes first, and an orderly end to all others. While a write is blocked,
 // that is often the write, so that the end of the reads proves nothing by itself. After an orderly end, which came before a reset, a write
@@ -72,3 +73,14 @@
 	}
 	return &net.OpError{Op: "read", Net: "tcp", Source: conn.LocalAddr(), Addr: conn.RemoteAddr(), Err: os.NewSyscallError("read", *number)}
 }
+
+// Close closes a connection to a server whose answer is complete or no longer wanted. If the kernel still has bytes of the request to
+// deliver, the connection is reset: after an orderly close the kernel would go on sending them, so that a server that was cut off could
+// run the request after it was given up.
+func Close(conn net.Conn) error {
+	if tcp, ok := conn.(interface{ SetLinger(sec int) error }); ok && tcpinfo.HoldsBytes(conn) {
+		// If this fails, the connection is closed in order.
+		_ = tcp.SetLinger(0)
+	}
+	return conn.Close()
+}
--- a/server/tcpend/tcpend_test.go
+++ b/server/tcpend/tcpend_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"clementinetray/server/tcpend"
+	"clementinetray/server/tcpinfo"
 )
 
 // peers returns both ends of a connection on loopback. The second one has small buffers.
@@ -169,3 +170,31 @@
 		}
 	}
 }
+
+// Guards against a request that the kernel goes on delivering after it was given up, and against an orderly end that becomes a reset.
+func TestClose(t *testing.T) {
+	for _, c := range []struct {
+		desc  string
+		bytes int
+		want  error
+	}{{"all bytes are delivered", 1024, nil}, {"the other end does not read", 8 << 20, syscall.ECONNRESET}} {
+		t.Run(c.desc, func(t *testing.T) {
+			own, other := peers(t)
+			go func() { _, _ = own.Write(make([]byte, c.bytes)) }()
+			if _, err := io.ReadFull(other, make([]byte, 1024)); err != nil {
+				t.Fatal(err)
+			}
+			if c.want == nil {
+				for end := time.Now().Add(5 * time.Second); tcpinfo.HoldsBytes(own) && time.Now().Before(end); {
+					time.Sleep(time.Millisecond)
+				}
+			}
+			if err := tcpend.Close(own); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.Copy(io.Discard, other); !errors.Is(err, c.want) {
+				t.Errorf("the other end reads up to %v, want %v", err, c.want)
+			}
+		})
+	}
+}
--- a/server/tcpinfo/tcpinfo.go
+++ b/server/tcpinfo/tcpinfo.go
@@ -53,3 +53,10 @@
 	state := State(conn)
 	return state != StateUnknown && state != StateEstablished
 }
+
+// HoldsBytes reports whether the kernel has bytes to deliver that the other end has not acknowledged. It returns false if the kernel does
+// not tell.
+func HoldsBytes(conn net.Conn) bool {
+	info, ok := Read(conn)
+	return ok && (info.Unacked > 0 || info.Notsent_bytes > 0)
+}
