entry: the restarted server of the tests keeps its port

Cause: restart_test.go failed once beside other runs, at the listen on the former address of a server that is away (line 132; the error text was not kept, 20 runs of the spec alone passed). The address was an ephemeral port of 127.0.0.1, which connections of other tests and processes take as well. Change: the server listens on 127.0.0.2. Result: the focus 'starts again under its id' passes.

--- a/server/entry/restart_test.go
+++ b/server/entry/restart_test.go
@@ -15,7 +15,8 @@
 	"clementinetray/api/control"
 )
 
-// restartable is a backend server that can be stopped and started again at its address.
+// restartable is a backend server that can be stopped and started again at its address. The address is apart from 127.0.0.1, from which
+// other tests and processes connect: while the server is away, one of their connections could take its port.
 type restartable struct {
 	address string
 	handler http.HandlerFunc
@@ -24,7 +25,7 @@
 
 func newRestartable(handler http.HandlerFunc) *restartable {
 	GinkgoHelper()
-	r := &restartable{address: "127.0.0.1:0", handler: handler}
+	r := &restartable{address: "127.0.0.2:0", handler: handler}
 	r.start()
 	DeferCleanup(func() { _ = r.server.Close() })
 	return r
