entry: a request that servers have answered is not blamed for their crash

Seen: three of twelve backend servers crashed at the same moment. Cause: answers were recorded only while an instance knew of a crash, so that at the first crash no request counted as answered. Chat and service calls did not look at answers. Change: each complete answer below status 500 is recorded by a hash of the request with its model and the software version of the server. A crash is not attributed to a request that the same version has answered, unless parts of its prompt are suspected.

--- a/server/entry/crashes.go
+++ b/server/entry/crashes.go
@@ -98,13 +98,18 @@
 	return problem.New(problem.Quarantined, "the request crashed the backend servers that ran it; an operator can lift this")
 }
 
-// reportCrash records in the control group that a backend server died while it ran the request. It returns a problem when
-// the crash could not be recorded or the request is quarantined now; the request must not be sent again then.
+// reportCrash records in the control group that a backend server died while it ran the request, unless the same version has answered the
+// request. It returns a problem when the crash could not be recorded or the request is quarantined now; the request must not be sent again
+// then.
 func (h *Handler) reportCrash(ctx context.Context, rq *request, server *control.BackendServer, f *attemptError) *problem.Problem {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), h.cfg.ControlTimeout)
 	defer cancel()
 	h.metrics.crashes.Inc()
 	reports := h.crashReports(rq, server, f)
+	if len(reports[0].Parts) == 0 && h.answeredRequests.has(rq.answerHash(server), time.Now()) {
+		h.recordServerEvent(rq, server, "crash_not_attributed", "the same version has answered the request")
+		return nil
+	}
 	reply, err := h.cfg.Control.ReportCrash(ctx, &reports[0])
 	for i := 1; err == nil && i < len(reports); i++ {
 		// Earlier crashes of the request were reported without its parts.
--- a/server/entry/dispatch.go
+++ b/server/entry/dispatch.go
@@ -345,6 +345,9 @@
 // recordSuccess counts an attempt with a complete answer.
 func (x *exchange) recordSuccess() {
 	x.rq.written = true
+	if x.response.StatusCode < http.StatusInternalServerError {
+		x.h.answeredRequests.add(x.rq.answerHash(x.server), time.Now())
+	}
 	x.h.metrics.attempts.WithLabelValues("ok").Inc()
 }
 
--- a/server/entry/handler.go
+++ b/server/entry/handler.go
@@ -45,8 +45,7 @@
 	outcomes *outcomeCounts
 	latency  *latencyWatch
 	crashes  *crashCache
-	// answeredRequests holds the fingerprints of routed requests that got a complete answer. A crash is not attributed
-	// to them.
+	// answeredRequests holds the routed requests that got a complete answer. A crash is not attributed to them.
 	answeredRequests *answeredSet
 	runningAttempts  *runningAttempts
 	finisher         *callFinisher
@@ -120,7 +119,7 @@
 		queue:           admission.NewQueue(cfg.MaxWaiting, admission.ByPriority, m.addWaiting),
 		controlledQueue: admission.NewQueue(cfg.MaxWaiting, admission.ByRequest, m.addWaiting),
 		outcomes:        newOutcomeCounts(), restarts: newRestartWatch(), latency: newLatencyWatch(), crashes: newCrashCache(), runningAttempts: newRunningAttempts(),
-		balance: balance.NewTracker(balance.Options{LearnedRates: cfg.OverloadControl, UsualPlacement: !cfg.TimedPlacement}), boundSessions: newBoundSessions(), oldVersionSessions: newKeptSessions(), answeredRequests: newAnsweredSet(), parts: newPartWatch(), rollouts: newRolloutTimes(), rolloutSamples: newRolloutSamples(), budgets: map[string]*retry.Budget{},
+		balance: balance.NewTracker(balance.Options{LearnedRates: cfg.OverloadControl, UsualPlacement: !cfg.TimedPlacement}), boundSessions: newBoundSessions(), oldVersionSessions: newKeptSessions(), answeredRequests: newAnsweredSet(time.Now()), parts: newPartWatch(), rollouts: newRolloutTimes(), rolloutSamples: newRolloutSamples(), budgets: map[string]*retry.Budget{},
 		idle: make(chan struct{}), stopBackground: stop,
 	}
 	for _, c := range []prometheus.Collector{newRateCollector(h.balance), newBodyGauge(&h.requestBuffer)} {
--- a/server/entry/routed_crash.go
+++ b/server/entry/routed_crash.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"clementinetray/api/control"
@@ -16,36 +15,8 @@
 	// crashDialTimeout is how long a backend server may take to accept a new connection after it broke one. If only the process
 	// died, the connection is refused at once; if the machine died, nothing answers.
 	crashDialTimeout = 300 * time.Millisecond
-	// answeredRetention and maxAnswered bound the record of requests that were answered completely. These are not taken for the
-	// cause of a crash.
-	answeredRetention = 10 * time.Minute
-	maxAnswered       = 20_000
 )
 
-// answeredSet holds the fingerprints of completely answered requests, with the time of the answer.
-type answeredSet struct {
-	mu         sync.Mutex // guards answeredAt
-	answeredAt map[string]time.Time
-}
-
-func newAnsweredSet() *answeredSet { return &answeredSet{answeredAt: map[string]time.Time{}} }
-
-func (s *answeredSet) add(fingerprint string, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.answeredAt) >= maxAnswered {
-		clear(s.answeredAt)
-	}
-	s.answeredAt[fingerprint] = now
-}
-
-func (s *answeredSet) has(fingerprint string, now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	at, ok := s.answeredAt[fingerprint]
-	return ok && now.Sub(at) <= answeredRetention
-}
-
 // setFingerprint sets the hash by which all instances identify the request. To save the hashing it is called only when crashes
 // are recorded or one is to be reported.
 func (rq *request) setFingerprint() {
@@ -67,7 +38,8 @@
 // reportRoutedCrash checks whether the backend server still accepts connections, and reports a crash to the control group if not.
 // If it does, the connection broke for another reason and no crash is counted for the request. If parts of the prompt may have
 // caused the crash, it returns after the report, so that the request is not sent to another backend server before the control
-// group has counted it. Otherwise the report is made in the background.
+// group has counted it. Otherwise the report is made in the background, and left out if the same version has answered the request: many
+// copies of a popular request run on backend servers that crash at the same time for another reason.
 func (h *Handler) reportRoutedCrash(rq *request, server *control.BackendServer, f *attemptError) {
 	rq.setFingerprint()
 	reports := h.crashReports(rq, server, f)
@@ -75,6 +47,9 @@
 		h.reportIfCrashed(server, reports)
 		return
 	}
+	if h.answeredRequests.has(rq.answerHash(server), time.Now()) {
+		reports = nil
+	}
 	h.background.Go(func() { h.reportIfCrashed(server, reports) })
 }
 
@@ -114,11 +89,7 @@
 	}
 }
 
-// sendCrashReport sends one report, unless the request was answered before and none of its parts is under suspicion.
 func (h *Handler) sendCrashReport(ctx context.Context, report *control.ReportCrashRequest) {
-	if len(report.Parts) == 0 && h.answeredRequests.has(report.Fingerprint, time.Now()) {
-		return
-	}
 	reply, err := h.cfg.Control.ReportCrash(ctx, report)
 	if err != nil {
 		h.cfg.Log.Warn("crash_not_reported", "request", report.Request, "backend_server", report.BackendServer, "error", err)
--- a/server/entry/routed_outcome.go
+++ b/server/entry/routed_outcome.go
@@ -17,10 +17,6 @@
 // countRoutedAnswer counts an attempt that was answered completely. first is the time from dispatch to the first event of a
 // stream, or to the end of another answer.
 func (h *Handler) countRoutedAnswer(x *exchange, first time.Duration) {
-	if !h.crashes.empty() {
-		x.rq.setFingerprint()
-		h.answeredRequests.add(x.rq.fingerprint, time.Now())
-	}
 	failures := 0
 	if x.response.StatusCode >= 500 {
 		failures = 1
--- a/server/entry/routed_test.go
+++ b/server/entry/routed_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+
 	"sync/atomic"
 	"time"
 
@@ -472,6 +473,47 @@
 		Expect(send(elsewhere.request("POST", "/r/x", "body")).status).To(Equal(http.StatusOK))
 	})
 
+	// Guards against a popular request that is refused for good, because it ran on backend servers that crashed for another reason.
+	DescribeTable("is not assumed of one that the same version has answered",
+		func(path, body string, answer http.HandlerFunc) {
+			var crashing atomic.Bool
+			var crashed atomic.Int64
+			var backends []*backend
+			for n := range 6 {
+				var b *backend
+				b = newBackend(fmt.Sprint("b", n), func(w http.ResponseWriter, r *http.Request) {
+					if n < 3 && crashing.Load() {
+						crashed.Add(1)
+						_ = b.server.Listener.Close()
+						panic(http.ErrAbortHandler)
+					}
+					answer(w, r)
+				})
+				backends = append(backends, b)
+			}
+			s := newRoutedHarness(idempotent, backends...)
+			rows := s.table.ByService["orders"]
+			s.setServers(v1, rows...)
+			ask := func() reply { return send(s.request("POST", path, body)) }
+			Expect(ask().status).To(Equal(http.StatusOK))
+			crashing.Store(true)
+			Eventually(func() int64 {
+				Expect(ask().problem.Reason).NotTo(Equal(problem.Quarantined))
+				return crashed.Load()
+			}, "10s").Should(BeEquivalentTo(3))
+			Consistently(func() int {
+				Expect(ask().problem.Reason).NotTo(Equal(problem.Quarantined))
+				return s.control.crashCount()
+			}, "500ms").Should(BeZero())
+			// The router of the harness would go on choosing the servers that are gone.
+			s.setServers(catalogue.VersionRef{}, rows[3:]...)
+			s.setServers(v1, rows[3:]...)
+			Expect(ask().status).To(Equal(http.StatusOK))
+		},
+		Entry("a routed request", "/r/popular", "body", respond(http.StatusOK, "well")),
+		Entry("a chat request", "/v1/chat/completions", `{"model":"small","messages":[{"role":"user","content":"popular"}]}`, completion("well")),
+	)
+
 	// Guards against the quarantine of requests whose connection broke without a crash.
 	It("is not assumed when only the connection broke", func() {
 		s := newRoutedHarness(idempotent, newBackend("b1", cutAtOnce), newBackend("b2", cutInBody), newBackend("b3", cutAtOnce))
