tcpend: the test of given-up bytes waits until the kernel holds some

The kernel held nothing then, so that the connection was rightly closed in order. Change: the test waits until the kernel holds bytes, as the other end reads no more.

--- a/server/tcpend/tcpend_test.go
+++ b/server/tcpend/tcpend_test.go
@@ -184,10 +184,9 @@
 			if _, err := io.ReadFull(other, make([]byte, 1024)); err != nil {
 				t.Fatal(err)
 			}
-			if c.want == nil {
-				for end := time.Now().Add(5 * time.Second); tcpinfo.HoldsBytes(own) && time.Now().Before(end); {
-					time.Sleep(time.Millisecond)
-				}
+			holds := c.want != nil
+			for end := time.Now().Add(5 * time.Second); tcpinfo.HoldsBytes(own) != holds && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
 			}
 			if err := tcpend.Close(own); err != nil {
 				t.Fatal(err)
