--- a/server/entry/undelimited_test.go
+++ b/server/entry/undelimited_test.go
@@ -102,6 +102,30 @@
 		Entry("a stream that is reset between events", stream, events, sixEvents[:30], endByReset, http.StatusOK, sixEvents, 2),
 		Entry("a stream that is reset inside an event", stream, events, sixEvents[:32], endByReset, http.StatusOK, sixEvents, 2),
 	)
+
+	// Guards against the same on the other ways in which the end of a connection ends an answer, or an early end must show.
+	DescribeTable("and is reset before the request was read is not passed on as a whole one",
+		func(method, path, head string) {
+			for range 10 {
+				var calls atomic.Int64
+				answerEarly := func(conn *net.TCPConn, r *http.Request) {
+					_, _ = io.WriteString(conn, strings.ReplaceAll(head, "ID", r.Header.Get("X-Attempt-Id"))+"\r\n"+strings.Repeat("half", 10))
+					time.Sleep(20 * time.Millisecond)
+					endByReset(conn)
+				}
+				later := respond(http.StatusOK, "from another one")
+				s := newRoutedHarness(idempotent, newEarlyBackend("b1", &calls, answerEarly, later), newEarlyBackend("b2", &calls, answerEarly, later))
+				got := send(s.request(method, path, strings.Repeat("u", 4<<20-1)))
+				Expect(got.status).To(Equal(http.StatusOK))
+				Expect(got.body).To(Equal("from another one"))
+				Expect(calls.Load()).To(BeEquivalentTo(2))
+			}
+		},
+		Entry("of HTTP/1.0", "POST", "/r/x", "HTTP/1.0 200 OK\r\nX-Attempt-Id: ID\r\n"),
+		Entry("with a length on a connection that is to be closed", "POST", "/r/x",
+			"HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nConnection: close\r\nContent-Length: 80\r\n"),
+		Entry("of a plain service", "GET", "/services/orders/read", "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\n"),
+	)
 })
 
 // endInOrder ends an answer and reads the rest of the request, as the answer would be lost with unread bytes.
--- a/server/relay/relay_test.go
+++ b/server/relay/relay_test.go
@@ -235,6 +235,40 @@
 		}, syscall.ECONNRESET),
 	)
 
+	// Guards against the same while a write of the request is blocked, which may take the error of the reset.
+	DescribeTable("ends as the backend server's connection does although the request is not read",
+		func(end func(*net.TCPConn), want error) {
+			s := newTCPServer(func(conn net.Conn) {
+				_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+				_, _ = io.ReadFull(conn, make([]byte, 1024))
+				_, _ = io.WriteString(conn, "part")
+				// The bytes reach the relay before the end, and its write is blocked by then.
+				time.Sleep(100 * time.Millisecond)
+				end(conn.(*net.TCPConn))
+			})
+			publish(map[string]string{"s": s.address()}, cut, other)
+			for range 10 {
+				conn := mustRelay(cut, "s", s.address())
+				written := make(chan struct{})
+				go func() {
+					defer close(written)
+					_, _ = conn.Write(make([]byte, 16<<20))
+				}()
+				got, err := io.ReadAll(conn)
+				Expect(string(got)).To(Equal("part"))
+				if want == nil {
+					Expect(err).NotTo(HaveOccurred())
+				} else {
+					Expect(errors.Is(err, want)).To(BeTrue(), "%v", err)
+				}
+				Expect(conn.Close()).To(Succeed())
+				<-written
+			}
+		},
+		Entry("an orderly end", func(conn *net.TCPConn) { _ = conn.CloseWrite(); _, _ = io.Copy(io.Discard, conn) }, nil),
+		Entry("a reset", func(conn *net.TCPConn) { reset(conn) }, syscall.ECONNRESET),
+	)
+
 	// Guards against an answer that looks complete, and a backend server that is taken for dead, because the relay's process ended.
 	It("breaks when the relay ends", func() {
 		s := newTCPServer(func(conn net.Conn) {
