--- a/review/standin-3/load.go
+++ b/review/standin-3/load.go
@@ -76,7 +76,7 @@
 }
 
 // begin starts the deployment and waits until its front machines take requests and know the servers.
-func (s *site) begin(m manifest) {
+func (s *site) begin(m []byte) {
 	s.startAll()
 	if status := s.putManifest(m, 30*time.Second); status != 200 {
 		fail("the first manifest got status %d", status)
