--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -10,10 +10,11 @@
 	cores, fronts int
 	run           func(s *site, trouble bool) int
 }{
-	"switching": {5, 2, switching},
-	"oddstatus": {5, 2, oddStatus},
-	"slash":     {5, 2, encodedSlash},
-	"lateping":  {5, 2, latePing},
+	"switching":    {5, 2, switching},
+	"oddstatus":    {5, 2, oddStatus},
+	"slash":        {5, 2, encodedSlash},
+	"lateping":     {5, 2, latePing},
+	"removedvoter": {5, 2, removedVoter},
 }
 
 func main() {
--- a/review/standin-3/site.go
+++ b/review/standin-3/site.go
@@ -54,10 +54,12 @@
 	zones     []string
 	ports     struct{ front, ready, control, peers, metrics int }
 	nodes     []*node
-	seeds     []string
-	bounds    map[string]any
-	servers   []*server
-	ipBase    int
+	// spare is a machine that comes later, if any.
+	spare   *node
+	seeds   []string
+	bounds  map[string]any
+	servers []*server
+	ipBase  int
 }
 
 // freePorts returns n ports that are free on all loopback addresses at the moment.
@@ -271,6 +273,9 @@
 	for _, n := range s.nodes {
 		n.kill()
 	}
+	if s.spare != nil {
+		s.spare.kill()
+	}
 	if os.Getenv("KEEP") == "" {
 		os.RemoveAll(s.dir)
 	} else {
