relay: the test of a server's end during a read no longer blocks itself

Cause: the stand-in connection of the test delayed SetReadDeadline until the server's read had ended. The relay holds deadlineMu there, and the first read from the server needs that mutex for its own deadline. The test hung wherever the other goroutine came first; a real connection's SetReadDeadline does not wait for a read. Change: the read from the server is in progress before the deadline is set, and the deadline that takes effect late is the one of the instance's second read. SetReadDeadline only sleeps.

--- a/server/relay/forward_internal_test.go
+++ b/server/relay/forward_internal_test.go
@@ -11,34 +11,45 @@
 	"clementinetray/server/blackboard"
 )
 
-// slowDeadlineConn delays its first read deadline until the server's connection has ended.
+// slowDeadlineConn is the instance's connection. One byte comes once the relay reads from the backend server; the deadline of the read
+// after it takes effect late, after that server's connection has ended.
 type slowDeadlineConn struct {
 	net.Conn
-	began, ended chan struct{}
-	delayed      atomic.Bool
+	// serverRead is closed by the first read from the backend server, delayed by the second deadline.
+	serverRead, delayed chan struct{}
+	deadlines, reads    atomic.Int32
 }
 
 func (c *slowDeadlineConn) SetReadDeadline(t time.Time) error {
-	if c.delayed.CompareAndSwap(false, true) {
-		close(c.began)
-		<-c.ended
+	if c.deadlines.Add(1) == 2 {
+		close(c.delayed)
 		time.Sleep(200 * time.Millisecond)
 	}
 	return c.Conn.SetReadDeadline(t)
 }
 
-// timedOutConn is a connection to a backend server that the kernel gives up.
+func (c *slowDeadlineConn) Read(p []byte) (int, error) {
+	if c.reads.Add(1) == 1 {
+		<-c.serverRead
+		return 1, nil
+	}
+	return c.Conn.Read(p)
+}
+
+// timedOutConn is a connection to a backend server that the kernel gives up while the instance's deadline is set.
 type timedOutConn struct {
 	net.Conn
-	began, ended chan struct{}
+	serverRead, delayed chan struct{}
 }
 
 func (c *timedOutConn) Read([]byte) (int, error) {
-	<-c.began
-	close(c.ended)
+	close(c.serverRead)
+	<-c.delayed
 	return 0, net.ErrClosed
 }
 
+func (c *timedOutConn) Write(p []byte) (int, error) { return len(p), nil }
+
 // Guards against a forwarded connection that holds its descriptors, and whose instance does not learn of the end, for up to 10 min: the
 // connection to the backend server ends while the relay is about to set the deadline of its next read from the instance.
 func TestForwardingEndsWhenTheServerEndsDuringARead(t *testing.T) {
@@ -56,10 +67,10 @@
 	for _, c := range []net.Conn{instance, caller, server, backend} {
 		defer func() { _ = c.Close() }()
 	}
-	began, ended, returned := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	serverRead, delayed, returned := make(chan struct{}), make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(returned)
-		s.forward(&slowDeadlineConn{Conn: caller, began: began, ended: ended}, &timedOutConn{server, began, ended})
+		s.forward(&slowDeadlineConn{Conn: caller, serverRead: serverRead, delayed: delayed}, &timedOutConn{server, serverRead, delayed})
 	}()
 	select {
 	case <-returned:
