entry: an answer with an invalid status is none

Seen: a backend server's status line read "HTTP/1.1 020 OK". With the mark for "not run" an order was sent to three servers and then refused as not run. Cause: net/http reads a head with any three characters that strconv.Atoi takes for a number that is not negative, and with any version. Nothing checked it before load, marks and confidence were read, and WriteHeader panics on a status below 100. Change: package answercheck decides which head is an answer: HTTP/1, status 200 to 599, no body announced with 204. Direct and relayed calls, chat, services, resumed streams, health calls and orders to engines use it. Any other head fails the attempt; nothing in it is believed and its connection is closed. What decides to which attempt an answer belongs moves there too. A stored status of an earlier build that is invalid is an unknown outcome.

--- a/server/engineorder/order.go
+++ b/server/engineorder/order.go
@@ -12,6 +12,7 @@
 	"github.com/zeebo/errs"
 
 	"clementinetray/api/catalogue"
+	"clementinetray/server/answercheck"
 )
 
 var (
@@ -21,7 +22,7 @@
 	ErrFenced = errs.Class("fenced")
 	// ErrRefused means that the engine answered with an error status other than 409.
 	ErrRefused = errs.Class("order refused")
-	// ErrOutcomeUnknown means that no answer arrived in time; the engine may have carried out the order.
+	// ErrOutcomeUnknown means that no valid answer arrived in time; the engine may have carried out the order.
 	ErrOutcomeUnknown = errs.Class("order outcome unknown")
 )
 
@@ -111,6 +112,9 @@
 		return ErrOutcomeUnknown.Wrap(err)
 	}
 	defer resp.Body.Close()
+	if err := answercheck.Head(resp); err != nil {
+		return ErrOutcomeUnknown.Wrap(err)
+	}
 	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	switch {
 	case resp.StatusCode < http.StatusMultipleChoices:
--- a/server/entry/calls.go
+++ b/server/entry/calls.go
@@ -9,6 +9,7 @@
 
 	"clementinetray/api/control"
 	"clementinetray/api/problem"
+	"clementinetray/server/answercheck"
 )
 
 // maxPendingFinishes is the largest number of FinishCall requests that wait for a retry. If one is dropped, the record of its
@@ -190,5 +191,9 @@
 	if stored == nil || stored.Truncated {
 		return nil, problem.New(problem.OutcomeUnknown, "the call was completed but its answer was too large to be kept")
 	}
+	if !answercheck.IsFinal(stored.Status) {
+		// Earlier builds stored any status that a backend server sent.
+		return nil, problem.New(problem.OutcomeUnknown, "the call was answered with an invalid status")
+	}
 	return &answer{status: stored.Status, header: http.Header{"Content-Type": {stored.ContentType}}, body: stored.Body}, nil
 }
--- a/server/entry/calls_test.go
+++ b/server/entry/calls_test.go
@@ -241,6 +241,15 @@
 		Expect(b.requests()).To(HaveLen(1))
 	})
 
+	It("end with an unknown outcome when the stored status is none (guards against a panic on what an earlier build stored)", func() {
+		s, b := newHarness(nil), newBackend("o1", answerText("order 7"))
+		s.setServers(service, serverRow(b))
+		Expect(s.postOrder("k1").status).To(Equal(http.StatusOK))
+		s.control.set(func() { s.control.calls["acme/k1"].answer.Status = 20 })
+		Expect(s.postOrder("k1").problem.Reason).To(Equal(problem.OutcomeUnknown))
+		Expect(b.requests()).To(HaveLen(1))
+	})
+
 	It("end their record after a panic (guards against a key that stays in progress)", func() {
 		s, b := newHarness(nil), newBackend("o1", answerText("order 7"))
 		s.setServers(service, serverRow(b))
--- a/server/entry/crashes.go
+++ b/server/entry/crashes.go
@@ -11,6 +11,7 @@
 
 	"clementinetray/api/control"
 	"clementinetray/api/problem"
+	"clementinetray/server/answercheck"
 )
 
 const (
@@ -153,6 +154,9 @@
 		return false
 	}
 	defer func() { _ = answer.Body.Close() }()
+	if answercheck.Head(answer) != nil {
+		return false
+	}
 	var health struct {
 		ID   string `json:"id"`
 		Boot string `json:"boot"`
--- a/server/entry/dispatch.go
+++ b/server/entry/dispatch.go
@@ -8,13 +8,13 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/zeebo/errs"
 
 	"clementinetray/api/control"
 	"clementinetray/api/problem"
+	"clementinetray/server/answercheck"
 	"clementinetray/server/balance"
 	"clementinetray/server/routing"
 )
@@ -154,6 +154,9 @@
 	if err != nil {
 		return x, x.failConnection(err)
 	}
+	if err := answercheck.Head(x.response); err != nil {
+		return x, x.dropAnswer("invalid", err.Error(), &attemptError{kind: failProtocol, err: err})
+	}
 	x.answered = true
 	x.recordDelivery(true)
 	h.restarts.Answered(time.Now(), latest(x.began, x.running.connectedAt()), x.server.ID, x.server.Boot)
@@ -234,9 +237,9 @@
 	return r, nil
 }
 
-// checkAnswerID fails the attempt, and returns the failure, when the answer carries the id of another attempt, or none on a
-// connection that an earlier attempt used: a faulty backend server may have written an earlier answer once more. Otherwise it
-// returns nil. A backend server whose answers carry no id is sent each further request on a connection of its own.
+// checkAnswerID fails the attempt, and returns the failure, when the answer is for another attempt or may be: a faulty backend server may
+// have written an earlier answer once more. Otherwise it returns nil. A backend server whose answers carry no id is sent each further
+// request on a connection of its own.
 func (x *exchange) checkAnswerID() *attemptError {
 	answerID, id := x.response.Header.Get(headerAttemptID), x.id
 	if x.rq.routed != nil {
@@ -244,21 +247,26 @@
 	}
 	_, reused := x.trace.connectionState()
 	kind := "crossed"
-	switch {
-	case answerID == id:
+	switch answercheck.FindAddressee(answerID, id, x.rq.id, reused) {
+	case answercheck.OwnAttempt:
 		x.h.unnamedAnswers.remove(serverKey(x.server))
 		return nil
-	case answerID == "" && !reused:
+	case answercheck.NoAttempt:
 		x.h.unnamedAnswers.set(serverKey(x.server), x.began)
 		return nil
-	case answerID == "":
+	case answercheck.UnknownAttempt:
 		kind = "unnamed"
-	case strings.HasPrefix(answerID, x.rq.id+"/"):
+	case answercheck.EarlierAttempt:
 		kind = "late"
 	}
-	x.recordDropped(kind, answerID)
-	f := x.fail(&attemptError{kind: failWrongAnswer, err: Error.New("the answer is for attempt %q", answerID)})
-	// The own answer may follow on the connection. An attempt that the transport has already sent on it would get that one.
+	return x.dropAnswer(kind, answerID, &attemptError{kind: failWrongAnswer, err: Error.New("the answer is for attempt %q", answerID)})
+}
+
+// dropAnswer fails the attempt because of an answer that is not its own, and returns f. It closes the connection: the own answer may follow
+// on it, and an attempt that the transport has already sent on it would get that one.
+func (x *exchange) dropAnswer(kind, detail string, f *attemptError) *attemptError {
+	x.recordDropped(kind, detail)
+	f = x.fail(f)
 	x.trace.seal()
 	return f
 }
@@ -292,7 +300,7 @@
 		f.kind = failCancelled
 	case !connected:
 		f.kind = failDial
-	case !endedByServer(err):
+	case !answercheck.ConnectionEnded(err):
 		f.kind = failProtocol
 	default:
 		f.serverCrashed = true
@@ -306,12 +314,6 @@
 	return f
 }
 
-// endedByServer reports whether the connection was reset or closed before the end of the answer.
-func endedByServer(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) ||
-		errors.Is(err, syscall.EPIPE) || strings.Contains(err.Error(), "server closed idle connection")
-}
-
 // fail records the failed attempt and returns f. If no answer has arrived it closes the attempt's connections, so that it is
 // certain whether a byte was written. If one has arrived it leaves the connection to the transport, which may already use it
 // for another request.
@@ -373,19 +375,12 @@
 		return nil, x.failConnection(err)
 	case tooLong:
 		return nil, x.fail(&attemptError{kind: failProtocol, err: Error.New("the answer is over %d bytes", limit)})
-	case len(body) == 0 && x.endsWithConnection():
+	case len(body) == 0 && answercheck.EndsWithConnection(x.response):
 		return nil, x.failConnection(io.ErrUnexpectedEOF)
 	}
 	return body, nil
 }
 
-// endsWithConnection reports whether only the end of the connection shows where the answer's body ends. If nothing came of such a
-// body, the backend server more likely ended after the head than had nothing to send: a server that has no body says so.
-func (x *exchange) endsWithConnection() bool {
-	r := x.response
-	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody
-}
-
 // checkRetry records a failed attempt and decides whether the request may be sent again. It reports a crash to the control
 // group and takes the retry from the retry budget. It returns nil if another attempt is allowed, else the refusal for the
 // caller.
--- a/server/entry/metrics.go
+++ b/server/entry/metrics.go
@@ -46,7 +46,7 @@
 		requests:          vector("requests_total", "Requests by kind.", "kind"),
 		refusals:          vector("refusals_total", "Refusals by reason.", "reason"),
 		attempts:          vector("attempts_total", "Attempts on backend servers by result.", "result"),
-		droppedAnswers:    vector("dropped_answers_total", "Answers that did not belong to the attempt, by kind.", "kind"),
+		droppedAnswers:    vector("dropped_answers_total", "Answers that did not belong to the attempt or were none, by kind.", "kind"),
 		bills:             vector("bills_total", "Bills sent to the control group by result.", "result"),
 		ratings:           vector("ratings_total", "Calls of the rating service by result.", "result"),
 		retries:           counter("retries_total", "Attempts after the first one of a request."),
--- a/server/entry/resume.go
+++ b/server/entry/resume.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"clementinetray/api/problem"
+	"clementinetray/server/answercheck"
 )
 
 // copyBufferBytes is the size of the buffer for copying a forwarded stream, in bytes.
@@ -85,12 +86,15 @@
 	}
 	forwarded.Header.Set(HeaderForwarded, h.cfg.Instance)
 	answer, err := h.forwardTransport.RoundTrip(forwarded)
+	if err == nil {
+		defer func() { _ = answer.Body.Close() }()
+		err = answercheck.Head(answer)
+	}
 	if err != nil {
 		h.cfg.Log.Warn("could not forward a resume request", "instance", instance, "error", err)
 		h.writeProblem(w, nil, problem.New(problem.BackendFailed, "the entry instance that holds the answer does not answer"))
 		return
 	}
-	defer func() { _ = answer.Body.Close() }()
 	copyHeader(w.Header(), answer.Header)
 	w.WriteHeader(answer.StatusCode)
 	copyFlushing(w, answer)
--- a/server/entry/routed_stream.go
+++ b/server/entry/routed_stream.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"clementinetray/server/answercheck"
 )
 
 const (
@@ -156,7 +158,7 @@
 			call.lastEventID = id
 		}
 	}
-	if x.events == 0 && x.endsWithConnection() {
+	if x.events == 0 && answercheck.EndsWithConnection(x.response) {
 		return x.failConnection(io.ErrUnexpectedEOF)
 	}
 	x.recordSuccess()
