entry: an internal error bears no headers of a backend server

Cause: recoverPanics wrote its answer into the header map that the handler had filled, and after the first byte appended it to the answer that had begun.

--- a/server/entry/chat.go
+++ b/server/entry/chat.go
@@ -66,7 +66,7 @@
 		share.ownLimit = h.requestBuffer.limit * ownerPercent / 100
 	}
 	rq.releases = append(rq.releases, share.release)
-	limited := http.MaxBytesReader(w, r.Body, limit)
+	limited := http.MaxBytesReader(serverWriter(w), r.Body, limit)
 	body, _, err := share.readAll(limited, limit)
 	if err == nil && copies > 1 {
 		values, overLimit := jsonbound.Check(body, h.cfg.JSONLimits)
--- a/server/entry/handler.go
+++ b/server/entry/handler.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"runtime/debug"
 	"sync"
 	"time"
 
@@ -186,26 +185,6 @@
 	h.serveRouted(w, r)
 }
 
-// recoverPanics answers with an internal error when a handler panics before it wrote an answer. Deferred calls release
-// limits and slots.
-func (h *Handler) recoverPanics(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		defer func() {
-			cause := recover()
-			if cause == nil {
-				return
-			}
-			if cause == http.ErrAbortHandler {
-				panic(cause)
-			}
-			h.metrics.panics.Inc()
-			h.cfg.Log.Error("panic", "cause", cause, "stack", string(debug.Stack()))
-			problem.New(problem.Internal, "").Write(w)
-		}()
-		next.ServeHTTP(w, r)
-	})
-}
-
 // ServeReady answers status 200 when the load balancer may send new requests to this instance, and a problem document
 // otherwise.
 func (h *Handler) ServeReady(w http.ResponseWriter, _ *http.Request) {
