entry, engineorder, ctl: status 101 is no answer

Cause: for 101 http.Transport hands the connection out as the body. No context and no timer ends a read of it; the request kept a goroutine, two connections and a place at its server until the server closed. Change: answercheck.Head refuses 101, so that the attempt fails at once and the connection is closed. Orders to engines and queries of the weight store, which hung in the same way and took 101 for an acceptance, use it; the command line refuses 101 from a proxy.

--- a/ctl/operatorapi/client.go
+++ b/ctl/operatorapi/client.go
@@ -104,6 +104,10 @@
 		return false, Error.Wrap(err)
 	}
 	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode == http.StatusSwitchingProtocols {
+		// Reads of the connection would end with no context.
+		return false, Error.New("status %d was not asked for", answer.StatusCode)
+	}
 	data, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
 	if err != nil {
 		return false, Error.Wrap(err)
--- a/server/answercheck/answercheck.go
+++ b/server/answercheck/answercheck.go
@@ -2,7 +2,8 @@
 // none. It reads no meaning from an answer, and does no I/O.
 //
 // A faulty backend server may send any bytes. net/http reads a head from more of them than HTTP allows: it takes each status of three
-// characters that strconv.Atoi reads and that is not negative, and any version. So whoever reads the status or the headers of an answer
+// characters that strconv.Atoi reads and that is not negative, and any version. After status 101, which the router never asks for, the
+// body is the connection itself, and reads of it end with no context. So whoever reads the status, the headers or the body of an answer
 // first calls Head.
 package answercheck
 
@@ -26,7 +27,7 @@
 	switch {
 	case r.ProtoMajor != 1:
 		return ErrHead.New("protocol %q", r.Proto)
-	case !IsFinal(r.StatusCode) && r.StatusCode != http.StatusSwitchingProtocols:
+	case !IsFinal(r.StatusCode):
 		return ErrHead.New("status %q", r.Status)
 	case r.StatusCode == http.StatusNoContent && announcesBody(r):
 		return ErrHead.New("status %q with a body", r.Status)
--- a/server/answercheck/answercheck_test.go
+++ b/server/answercheck/answercheck_test.go
@@ -43,6 +43,8 @@
 		{"GET", "HTTP/1.1 020 OK\r\n" + length, false},
 		{"GET", "HTTP/1.1 099 OK\r\n" + length, false},
 		{"GET", "HTTP/1.1 100 Continue\r\n\r\n", false},
+		{"GET", "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: odd\r\n\r\n", false},
+		{"GET", "HTTP/1.1 101 Switching Protocols\r\n\r\n", false},
 		{"GET", "HTTP/1.1 199 OK\r\n\r\n", false},
 		{"GET", "HTTP/1.1 600 OK\r\n" + length, false},
 		{"GET", "HTTP/1.1 999 OK\r\n" + length, false},
@@ -78,9 +80,6 @@
 			return
 		}
 		status := fmt.Sprint(r.StatusCode)
-		if r.StatusCode == http.StatusSwitchingProtocols {
-			return
-		}
 		if len(status) != 3 || status[0] < '2' || status[0] > '5' || !strings.HasPrefix(r.Status, status) {
 			t.Fatalf("status %q of %q passes as %d", r.Status, head, r.StatusCode)
 		}
--- a/server/engineorder/answers_internal_test.go
+++ b/server/engineorder/answers_internal_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 )
 
 // newRawServer returns the address of a server that answers each request with the same bytes and then keeps the connection open.
@@ -43,3 +44,26 @@
 		}
 	}
 }
+
+// Guards against an order, or a query of the weight store, that never ends: reads after a protocol switch end with no context.
+func TestProtocolSwitchEndsOrdersAndQueries(t *testing.T) {
+	address := newRawServer(t, "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: odd\r\n\r\n")
+	ended := make(chan error, 2)
+	go func() {
+		ended <- newSender(func() bool { return true }).send(context.Background(), address, Order{Action: ActionLoad})
+	}()
+	go func() {
+		_, err := fetchLoadLimit(context.Background(), &http.Client{}, "http://"+address)
+		ended <- err
+	}()
+	for range 2 {
+		select {
+		case err := <-ended:
+			if err == nil {
+				t.Error("a protocol switch counts as an answer")
+			}
+		case <-time.After(orderTimeout + time.Second):
+			t.Fatal("a call after a protocol switch has not ended")
+		}
+	}
+}
--- a/server/engineorder/weightstore.go
+++ b/server/engineorder/weightstore.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"clementinetray/server/answercheck"
 )
 
 const (
@@ -69,6 +71,9 @@
 		return 0, Error.Wrap(err)
 	}
 	defer resp.Body.Close()
+	if err := answercheck.Head(resp); err != nil {
+		return 0, Error.Wrap(err)
+	}
 	var reply limitsReply
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(&reply); err != nil {
 		return 0, Error.Wrap(err)
