replica: the silence of a member is counted over changes of the leader

Seen: a control machine was removed without a signal and replaced, the leader lost its disk 2.7 s later and another machine its disk when the removed one counted no longer. Cause: a voter above the group's size leaves after 3 s of silence to one leader. Only the leader hears the members, so that each change of leaders began the time anew, after half a second in which all members count as live. Change: the leader tells the others with each Append which members are silent, for how long, and which announced their stop. A new leader goes on counting and removes a member once it has missed it for an election timeout itself; a leader that was lost counts from its last Append. A replica that stood still, or heard no leader for four election timeouts, forgets.

--- a/server/raft/leader.go
+++ b/server/raft/leader.go
@@ -383,6 +383,15 @@
 	return 0, false
 }
 
+// SinceReply returns the ticks since the node last replied to this leader, or since this leader first sent to it if it never replied.
+// replied is false then, and for nodes that are no members.
+func (n *Node) SinceReply(node NodeID) (ticks int, replied bool) {
+	if p := n.progress[node]; p != nil {
+		return p.ticksSinceReply, p.ackedRound > 0
+	}
+	return 0, false
+}
+
 // Awaited is what the leader waits for from another node.
 type Awaited string
 
--- a/server/raft/types.go
+++ b/server/raft/types.go
@@ -189,6 +189,17 @@
 	LeaderAge      time.Duration
 	LeaderAgeKnown bool
 	SentAt, EchoAt Clock
+	// Silences is what the leader knows of members that do not answer it, in an Append. It is for the driver too.
+	Silences []Silence
+}
+
+// Silence tells that a member does not answer the leader, or announced its stop.
+type Silence struct {
+	Node NodeID
+	// Age is the time since the member last answered a leader; 0 if it answers.
+	Age time.Duration
+	// Departed is set if the member announced its planned stop.
+	Departed bool
 }
 
 // Clock is a reading of the monotonic clock of one process.
--- a/server/replica/config.go
+++ b/server/replica/config.go
@@ -10,13 +10,16 @@
 )
 
 const (
-	defaultTick                = 50 * time.Millisecond
-	defaultElectionTimeout     = 500 * time.Millisecond
-	defaultHeartbeatInterval   = 100 * time.Millisecond
-	defaultCallTimeout         = 2 * time.Second
-	defaultJoinInterval        = time.Second
-	defaultBootstrapWait       = 1500 * time.Millisecond
-	defaultUnresponsiveTimeout = 3 * time.Second
+	defaultTick              = 50 * time.Millisecond
+	defaultElectionTimeout   = 500 * time.Millisecond
+	defaultHeartbeatInterval = 100 * time.Millisecond
+	defaultCallTimeout       = 2 * time.Second
+	defaultJoinInterval      = time.Second
+	defaultBootstrapWait     = 1500 * time.Millisecond
+	// A surplus voter that is gone must be removed before its successor has had 4 s, as two further members may be lost then. This
+	// leaves time for the loss of the leader in the last moment: 1 s to elect another one, and an election timeout in which that one
+	// misses the voter too.
+	defaultUnresponsiveTimeout = 2 * time.Second
 	defaultCompactBytes        = 8 << 20
 )
 
@@ -60,7 +63,7 @@
 	// before it creates the group. Default 1.5 s.
 	BootstrapWait time.Duration
 	// UnresponsiveTimeout is how long a surplus voter or a learner must be unresponsive before it is removed from a
-	// group with a GroupSize. Default 3 s.
+	// group with a GroupSize, counted over changes of the leader. Default 2 s.
 	UnresponsiveTimeout time.Duration
 	// JoinAddresses returns further addresses to which join requests are sent. Default: none.
 	JoinAddresses func() []string
--- a/server/replica/departure.go
+++ b/server/replica/departure.go
@@ -37,7 +37,7 @@
 	err = r.changeMembership(ctx, func(members raft.Membership) (raft.Membership, error) {
 		member, found := members.Find(node)
 		if found && member.Voter && members.VoterCount() <= r.cfg.GroupSize {
-			r.departures[node] = time.Now()
+			r.silences.announce(time.Now(), node)
 			return nil, needed
 		}
 		// Without a change to propose, the commit of the unchanged membership confirms that this replica still leads.
@@ -49,17 +49,6 @@
 	return err == nil, err
 }
 
-// dropOldDepartures forgets the announcements of removed nodes, and of members that respond although their stop should have
-// ended.
-func (r *Replica) dropOldDepartures(members raft.Membership, now time.Time) {
-	for node, announced := range r.departures {
-		_, member := members.Find(node)
-		if _, active := r.node.MatchIndex(node); !member || active && now.Sub(announced) > r.cfg.CallTimeout {
-			delete(r.departures, node)
-		}
-	}
-}
-
 // depart announces the planned stop of this replica to the leader and waits for the answer, for two election timeouts at most.
 // Without the announcement, a replica that is stopped for good would stay a voter until it has been silent for
 // UnresponsiveTimeout, and the group would bear one loss fewer until then.
--- a/server/replica/loop.go
+++ b/server/replica/loop.go
@@ -54,7 +54,12 @@
 // tick advances the clock of the raft node. On a leader it also repeats missed ticks, so that a leader whose process was
 // suspended for longer than the election timeout steps down before it handles anything else.
 func (r *Replica) tick() {
-	now := time.Now()
+	r.tickClock(time.Now())
+	r.advanceMembership()
+	r.publishStatus()
+}
+
+func (r *Replica) tickClock(now time.Time) {
 	missed := int(now.Sub(r.lastTick) / r.cfg.Tick)
 	r.lastTick = now
 	r.node.Tick()
@@ -62,8 +67,10 @@
 	for i := 1; i < min(missed, limit) && r.node.Role() == raft.Leader; i++ {
 		r.node.Tick()
 	}
-	r.advanceMembership()
-	r.publishStatus()
+	if missed >= limit && r.node.Role() != raft.Leader {
+		// Members may have answered another leader while this process stood still.
+		r.silences.forget()
+	}
 }
 
 func (r *Replica) step(m raft.Message) {
@@ -76,6 +83,7 @@
 	}
 	if m.Kind == raft.Append && m.Term == r.node.Term() && m.From == r.node.Leader() {
 		r.freshness.handleAppend(m)
+		r.silences.learn(time.Now(), m.From, m.Silences)
 	}
 }
 
--- a/server/replica/loop_test.go
+++ b/server/replica/loop_test.go
@@ -24,6 +24,22 @@
 	}
 }
 
+// Guards against the removal of a member that answered another leader while this process stood still.
+func TestSilencesAreForgottenAfterMissedTicks(t *testing.T) {
+	r := newLeader(t, raft.Membership{{Node: "a/1", ID: "a", Voter: true}, {Node: "b/1", ID: "b", Voter: true}})
+	r.silences.learn(time.Now(), "b/1", []raft.Silence{{Node: "c/1", Age: time.Minute}})
+	r.lastTick = time.Now().Add(-r.cfg.Tick)
+	r.tickClock(time.Now())
+	if len(r.silences.since) != 1 {
+		t.Errorf("%v is left after one tick, want the silence of c/1", r.silences.since)
+	}
+	r.lastTick = time.Now().Add(-time.Minute)
+	r.tickClock(time.Now())
+	if len(r.silences.since) != 0 {
+		t.Errorf("%v is left after a minute without ticks", r.silences.since)
+	}
+}
+
 // TestUncommittedMembership guards against a status that names a voter whose admission is on no other replica yet, so that an
 // operator who relies on it loses a majority with the next folder.
 func TestUncommittedMembership(t *testing.T) {
@@ -65,6 +81,7 @@
 	r := &Replica{status: blackboard.NewSection(Status{})}
 	r.cfg.setDefaults()
 	r.nodeID = "a/1"
+	r.silences = newSilences(r.nodeID, r.cfg.ElectionTimeout)
 	var err error
 	if r.statusWriter, err = r.status.Writer(); err != nil {
 		t.Fatal(err)
--- a/server/replica/membership.go
+++ b/server/replica/membership.go
@@ -171,11 +171,13 @@
 // unresponsive surplus member. It runs at each tick of the leader, because under load a replica has all entries up to
 // the commit index only for short moments, which a less frequent check would miss.
 func (r *Replica) advanceMembership() {
-	r.dropOldSilence()
+	members, now := r.node.Members(), time.Now()
+	if r.node.Role() == raft.Leader {
+		r.silences.lead(now, members, r.contactWith)
+	}
 	if !r.node.CanServeAsLeader() {
 		return
 	}
-	members := r.node.Members()
 	for _, m := range members {
 		if m.Rejoining && r.caughtUp(m.Node) {
 			// A change that can't be proposed now is proposed again at the next tick.
@@ -183,21 +185,22 @@
 			return
 		}
 	}
-	now := time.Now()
-	r.dropOldDepartures(members, now)
-	if surplus, ok := r.surplusMember(members, now); ok {
-		r.cfg.Logger.Info("silent_voter_leaves", "node", surplus.Node, "voters", members.VoterCount(), "group_size", r.cfg.GroupSize)
+	r.silences.dropOldAnnouncements(now, r.cfg.CallTimeout, func(node raft.NodeID) bool { return r.contactWith(node).active })
+	if r.cfg.GroupSize == 0 {
+		return
+	}
+	if surplus, ok := r.silences.surplus(now, members, r.cfg.GroupSize, r.cfg.UnresponsiveTimeout, r.contactWith); ok {
+		r.cfg.Logger.Info("silent_voter_leaves", "node", surplus.Node, "voter", surplus.Voter, "voters", members.VoterCount(), "group_size", r.cfg.GroupSize,
+			"silent_for", now.Sub(r.silences.since[surplus.Node]))
 		_, _ = r.proposeMembership(members.Without(surplus.Node))
 	}
 }
 
-// dropOldSilence forgets since when members are unresponsive when they are removed or when this replica does not lead: a member that
-// is added again, or that a later leadership of this replica finds silent, has the whole UnresponsiveTimeout.
-func (r *Replica) dropOldSilence() {
-	maps.DeleteFunc(r.unresponsiveSince, func(node raft.NodeID, _ time.Time) bool {
-		_, member := r.node.Members().Find(node)
-		return !member || r.node.Role() != raft.Leader
-	})
+// contactWith returns this leader's contact with another member.
+func (r *Replica) contactWith(node raft.NodeID) contact {
+	ticks, replied := r.node.SinceReply(node)
+	_, active := r.node.MatchIndex(node)
+	return contact{answered: replied, active: active, sinceAnswer: time.Duration(ticks) * r.cfg.Tick}
 }
 
 // maxExtraMembers is how many members more than GroupSize the group may have when a replica joins before an unresponsive
@@ -209,35 +212,6 @@
 	return r.cfg.GroupSize > 0 && len(members) < r.cfg.GroupSize+maxExtraMembers
 }
 
-// surplusMember returns the member that has been unresponsive for the longest time; false if there is none, the time is
-// less than UnresponsiveTimeout, or the group has no GroupSize. It considers all learners, and voters only when the group
-// has more voters than its GroupSize. A member that announced its stop counts as unresponsive for UnresponsiveTimeout as soon
-// as it does not respond.
-func (r *Replica) surplusMember(members raft.Membership, now time.Time) (raft.Member, bool) {
-	var longest raft.Member
-	var since time.Time
-	for _, m := range members {
-		if _, active := r.node.MatchIndex(m.Node); active {
-			delete(r.unresponsiveSince, m.Node)
-			continue
-		}
-		if r.unresponsiveSince[m.Node].IsZero() {
-			r.unresponsiveSince[m.Node] = now
-		}
-		if m.Voter && members.VoterCount() <= r.cfg.GroupSize {
-			continue
-		}
-		start := r.unresponsiveSince[m.Node]
-		if _, announced := r.departures[m.Node]; announced {
-			start = start.Add(-r.cfg.UnresponsiveTimeout)
-		}
-		if since.IsZero() || start.Before(since) {
-			longest, since = m, start
-		}
-	}
-	return longest, r.cfg.GroupSize > 0 && !since.IsZero() && now.Sub(since) >= r.cfg.UnresponsiveTimeout
-}
-
 // caughtUp reports whether the node is responsive and has synced its log up to the commit index.
 func (r *Replica) caughtUp(node raft.NodeID) bool {
 	match, active := r.node.MatchIndex(node)
--- a/server/replica/replica.go
+++ b/server/replica/replica.go
@@ -92,11 +92,7 @@
 	lastReadToken uint64
 	lastRound     uint64
 	lastTick      time.Time
-	// unresponsiveSince holds, for each member that does not respond to this leader, the time at which this was detected.
-	unresponsiveSince map[raft.NodeID]time.Time
-	// departures holds, for each member that announced its planned stop to this leader and was not removed, the time of the
-	// announcement.
-	departures map[raft.NodeID]time.Time
+	silences      *silences
 	// admissions holds the nodes that ask this leader to join and are not admitted yet.
 	admissions map[raft.NodeID]*admission
 	// joinRequests holds the requests of replicas that asked to join before the group was created, by replica id.
@@ -141,7 +137,7 @@
 func newReplica(cfg Config, storage *storage, recovered recovery) (*Replica, error) {
 	r := &Replica{
 		cfg: cfg, nodeID: storage.identity.nodeID(), freshness: newFreshness(), applier: newApplier(cfg.StateMachine),
-		startedAt: time.Now(), unresponsiveSince: map[raft.NodeID]time.Time{}, departures: map[raft.NodeID]time.Time{}, joinRequests: map[string]JoinArgs{},
+		startedAt: time.Now(), silences: newSilences(storage.identity.nodeID(), cfg.ElectionTimeout), joinRequests: map[string]JoinArgs{},
 		admissions: map[raft.NodeID]*admission{},
 		tasks:      make(chan func(), taskQueueLength), appliedSignal: make(chan struct{}, 1),
 		stopping: make(chan struct{}), done: make(chan struct{}),
--- a/server/replica/transport.go
+++ b/server/replica/transport.go
@@ -153,7 +153,11 @@
 		r.sendSnapshot(m)
 		return
 	}
-	r.freshness.setClockFields(&m, time.Now())
+	now := time.Now()
+	r.freshness.setClockFields(&m, now)
+	if m.Kind == raft.Append {
+		m.Silences = r.silences.tell(now)
+	}
 	l := r.links[m.To]
 	if l == nil {
 		l = newLink(m.To)
