standin/soak: backend servers that spoil their answers

Cause: the soak's backend servers answered soundly or not at all, so that it could not find what statuses and heads that are none do. New checks: an answer of the router's own bears no header of a backend server, a request ends by its time limit, no process logs a panic.

--- a/standin/soak/backend.go
+++ b/standin/soak/backend.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -27,6 +28,8 @@
 	// Server is the number of the backend server. Leaving is the number of the period in which it says that it leaves, 0
 	// outside of them.
 	Server, Leaving int
+	// Spoiled says that the answer is spoiled, and so tells nothing.
+	Spoiled bool
 }
 
 // Refusal is a request that a backend server refused, as it asked to be spared until Until.
@@ -45,6 +48,9 @@
 	// which one says that it leaves.
 	statements   map[int]statement
 	leavingCount int
+	// spoiling holds the random numbers of each backend server that spoils answers, by its number. spoiledCount counts those answers.
+	spoiling     map[int]*rand.Rand
+	spoiledCount int
 }
 
 // statement is what a backend server says of itself in its answers.
@@ -54,7 +60,7 @@
 }
 
 func newArrivalLog() *arrivalLog {
-	return &arrivalLog{byID: map[string][]Arrival{}, statements: map[int]statement{}}
+	return &arrivalLog{byID: map[string][]Arrival{}, statements: map[int]statement{}, spoiling: map[int]*rand.Rand{}}
 }
 
 // sayLeaving makes a backend server say that it leaves until stop is called.
@@ -86,7 +92,9 @@
 		r.refusals = append(r.refusals, Refusal{Request: arrival.Request, Server: arrival.Server, At: arrival.At, Until: said.spareUntil})
 		return false, spareFor
 	}
-	arrival.Leaving = said.leaving
+	if !arrival.Spoiled {
+		arrival.Leaving = said.leaving
+	}
 	r.byID[arrival.Request] = append(r.byID[arrival.Request], arrival)
 	return said.leaving > 0, 0
 }
@@ -99,13 +107,19 @@
 			return
 		}
 		last, _ := strconv.Atoi(req.Header.Get("Last-Event-ID"))
-		leaving, spareFor := r.arrive(Arrival{Request: id, Zone: zone, At: time.Now(), Server: server})
+		spoiled, isSpoiled := r.spoil(server, req.Header.Get("X-Attempt-Id"))
+		leaving, spareFor := r.arrive(Arrival{Request: id, Zone: zone, At: time.Now(), Server: server, Spoiled: isSpoiled})
 		if spareFor > 0 {
 			w.Header().Set("Clementinetray-Not-Run", "1")
 			w.Header().Set("Retry-After", strconv.FormatFloat(spareFor.Seconds(), 'f', 3, 64))
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
+		if isSpoiled {
+			spoiled.write(w)
+			return
+		}
+		w.Header().Set(serverMark, "1")
 		if leaving {
 			w.Header().Set("Clementinetray-Leaving", "1")
 		}
--- a/standin/soak/callers.go
+++ b/standin/soak/callers.go
@@ -39,7 +39,9 @@
 	// Status is the HTTP status, or 0 if no response header arrived.
 	Status int
 	NotRun bool // the refusal states that the request did not run
-	Body   string
+	// Refused says that the answer is the router's own; Marked that it bears the mark of a backend server.
+	Refused, Marked bool
+	Body            string
 	// BodyRead says that the body was read to its regular end rather than cut off by a connection failure.
 	BodyRead bool
 }
@@ -136,7 +138,9 @@
 	o.Status = resp.StatusCode
 	raw, err := io.ReadAll(resp.Body)
 	o.Body, o.BodyRead = string(raw), err == nil
+	o.Marked = resp.Header.Get(serverMark) != ""
 	if resp.Header.Get("Content-Type") == problem.ContentType {
+		o.Refused = true
 		var p problem.Problem
 		o.NotRun = json.Unmarshal(raw, &p) == nil && p.NotRun
 	}
--- a/standin/soak/guarantees.go
+++ b/standin/soak/guarantees.go
@@ -28,6 +28,9 @@
 	NoUnexpectedExit Guarantee = "no process exits unexpectedly"
 	LeavingObeyed    Guarantee = "an instance that passed on a leaving flag sends the backend server no requests that came later"
 	SpareObeyed      Guarantee = "an instance that a backend server asked to be spared sends it at most two requests in that time"
+	OwnRefusals      Guarantee = "an answer of the router's own bears no header of a backend server"
+	AnsweredInTime   Guarantee = "a request is answered or broken off by its time limit"
+	NoPanic          Guarantee = "no request ends with a panic"
 	Recovers         Guarantee = "every instance serves again after the last fault"
 )
 
@@ -43,7 +46,7 @@
 // Span is the period of a fault, a stop or a change such as a zone being out of service. End is zero until it is over.
 type Span struct {
 	Begin, End time.Time
-	// Name is the zone or workspace of a change, Instance the index of the instance of a stop.
+	// Name is the zone or workspace of a change, or the kind of a fault. Instance the index of the instance of a stop.
 	Name     string
 	Instance int
 }
@@ -81,6 +84,9 @@
 	viewLimit = 6 * time.Second
 	// arrivalSlack allows for the time between an instance's routing decision and the request's arrival at a backend server.
 	arrivalSlack = 500 * time.Millisecond
+	// timeLimit is the time limit of all routes. timeLimitSlack allows for a busy machine; callers give up callTimeout after they began.
+	timeLimit      = 10 * time.Second
+	timeLimitSlack = time.Second
 	// faultAftermath is how long after its end a fault may still affect callers.
 	faultAftermath = viewLimit
 )
@@ -96,6 +102,12 @@
 		o := &h.Outcomes[i]
 		arrivals := h.Arrivals[o.ID]
 		h.checkAnswer(o, add)
+		if o.Refused && o.Marked {
+			add(OwnRefusals, o, "it bears %s", serverMark)
+		}
+		if took := o.End.Sub(o.Began); took > timeLimit+timeLimitSlack && !h.hasFault(o.Began, o.End) {
+			add(AnsweredInTime, o, "it took %s", took)
+		}
 		if o.Kind == NonIdempotent && len(arrivals) > 1 {
 			add(RunsOnce, o, "it ran %d times", len(arrivals))
 		}
@@ -214,6 +226,17 @@
 	}
 }
 
+// hasFault reports whether a fault of a process or a connection fell into a period. What backend servers say or spoil is none.
+func (h *History) hasFault(from, to time.Time) bool {
+	for _, f := range h.Faults {
+		said := f.Name == string(SpoilAnswers) || f.Name == string(SayLeaving) || f.Name == string(AskToSpare)
+		if !said && f.Begin.Before(to) && (f.End.IsZero() || f.End.Add(faultAftermath).After(from)) {
+			return true
+		}
+	}
+	return false
+}
+
 // cutByStop reports whether the caller lost the answer to a request that had reached a backend server, during a planned stop
 // of its instance and with no fault near it in time.
 func (h *History) cutByStop(o *Outcome, arrivals []Arrival) bool {
--- a/standin/soak/plan.go
+++ b/standin/soak/plan.go
@@ -28,6 +28,7 @@
 	DropServerData   Kind = "silentat" // open connections to a backend server pass no more data
 	SayLeaving       Kind = "says"     // a backend server says in its answers that it leaves, then restarts
 	AskToSpare       Kind = "spare"    // a backend server refuses requests and asks to be spared
+	SpoilAnswers     Kind = "spoil"    // a backend server spoils a share of its answers
 
 	Stop          Kind = "stop"    // SIGTERM, then a restart
 	Reload        Kind = "reload"  // SIGHUP
@@ -97,13 +98,34 @@
 		plan = addPhase(plan, rng, from, min(phaseLength, length-from), planned, size)
 	}
 	plan = addStatements(plan, rand.New(rand.NewPCG(seed, statementStream)), length, size)
+	plan = addSpoiling(plan, rand.New(rand.NewPCG(seed, spoilingStream)), length, size)
 	slices.SortStableFunc(plan, func(a, b Step) int { return int(a.At - b.At) })
 	return plan
 }
 
-// statementStream is the second seed of the random numbers for addStatements. They are apart from the others, so that seeds give
-// the same other steps as before these kinds existed.
-const statementStream = 1
+// statementStream and spoilingStream are the second seeds of the random numbers for addStatements and addSpoiling. They are apart from the
+// others, so that seeds give the same other steps as before these kinds existed.
+const statementStream, spoilingStream = 1, 2
+
+// spoilingInterval is the mean time between two backend servers that begin to spoil answers.
+const spoilingInterval = 3 * time.Second
+
+// addSpoiling adds steps in which a backend server spoils answers, beside the steps of all other kinds and at any backend server.
+func addSpoiling(plan []Step, rng *rand.Rand, length time.Duration, size Size) []Step {
+	for from := time.Duration(0); from < length; from += spoilingInterval {
+		s := Step{
+			Kind: SpoilAnswers, Target: rng.IntN(size.Servers), At: from + time.Duration(rng.Int64N(int64(spoilingInterval))),
+			Duration: minStepTime + time.Duration(rng.Int64N(int64(maxStepTime-minStepTime))),
+		}
+		overlaps := slices.ContainsFunc(plan, func(o Step) bool {
+			return o.Kind == SpoilAnswers && o.Target == s.Target && s.At < o.At+o.Duration && o.At < s.At+s.Duration
+		})
+		if !overlaps && s.At < length {
+			plan = append(plan, s)
+		}
+	}
+	return plan
+}
 
 // addStatements adds steps in which backend servers say something of themselves, also beside the steps of all other kinds. Only
 // the first half of the backend servers takes part, so that requests always find one.
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -109,6 +109,8 @@
 	endLoad()
 	background.Wait()
 	s.readBills()
+	s.checkPanics()
+	s.Log.Info("spoiled answers", "count", s.arrivals.spoiledCount)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.history.Outcomes, s.history.Arrivals, s.history.Refusals = s.traffic.outcomes, s.arrivals.byID, s.arrivals.refusals
@@ -196,7 +198,7 @@
 	route := func(kind RequestKind, as catalogue.RouteKind, attempts int) catalogue.Route {
 		return catalogue.Route{
 			Name: string(kind), Host: routeHost, PathPrefix: "/" + string(kind) + "/", Kind: as, Resumable: as == catalogue.KindStream,
-			Targets: []catalogue.Target{{Service: serviceName, Weight: 1}}, MaxAttempts: attempts, TimeLimitMillis: 10_000, TargetMillis: 1_000,
+			Targets: []catalogue.Target{{Service: serviceName, Weight: 1}}, MaxAttempts: attempts, TimeLimitMillis: int(timeLimit.Milliseconds()), TargetMillis: 1_000,
 		}
 	}
 	c.Routes = []catalogue.Route{
@@ -223,7 +225,7 @@
 // runStep carries out one step and returns when the fault or operation is over.
 func (s *soak) runStep(step Step) {
 	if !step.Kind.Planned() {
-		end := s.beginSpan(&s.history.Faults, Span{Begin: time.Now()})
+		end := s.beginSpan(&s.history.Faults, Span{Begin: time.Now(), Name: string(step.Kind)})
 		defer end()
 	}
 	if disablesInstance(step.Kind) {
@@ -296,6 +298,10 @@
 	case AskToSpare:
 		s.arrivals.askToSpare(number, step.Duration)
 		time.Sleep(step.Duration)
+	case SpoilAnswers:
+		stop := s.arrivals.startSpoiling(number, s.Seed)
+		time.Sleep(step.Duration)
+		stop()
 	case DrainServer:
 		backend.SetLeaving(true)
 		time.Sleep(step.Duration)
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -31,6 +31,7 @@
 	Expect(history.Violations()).To(BeEmpty())
 	Expect(history.ResultCounts()["200"]).To(BeNumerically(">", 100), "too few answered requests to check the guarantees")
 },
+	Entry("an answer with status 099 panicked, and ended as status 500 with the headers of its backend server", uint64(5), 30*time.Second),
 	Entry("two zone changes of the soak overlapped, and the reversal of one brought back a zone that the other had taken out", uint64(3), 40*time.Second),
 )
 
@@ -63,7 +64,7 @@
 				seen[s.Kind] = true
 			}
 		}
-		Expect(seen).To(HaveLen(22))
+		Expect(seen).To(HaveLen(23))
 	})
 })
 
@@ -149,6 +150,16 @@
 	Entry("a missing bill of an instance that was killed is accepted", func(h *History, o *Outcome) {
 		o.Kind, o.Body, h.BillsKnown, h.Killed = Chat, chatText, true, map[int]bool{0: true}
 	}),
+	Entry("a refusal that bears the mark of a backend server", func(_ *History, o *Outcome) { o.Status, o.Refused, o.Marked = 500, true, true }, OwnRefusals),
+	Entry("an answer that comes too late", func(_ *History, o *Outcome) { o.Began = at(-1) }, AnsweredInTime),
+	Entry("an answer that comes too late while backend servers spoil answers", func(h *History, o *Outcome) {
+		o.Began = at(-1)
+		h.Faults = []Span{{Begin: at(5), End: at(6), Name: string(SpoilAnswers)}}
+	}, AnsweredInTime),
+	Entry("an answer that comes too late beside a fault is accepted", func(h *History, o *Outcome) {
+		o.Began = at(-1)
+		h.Faults = []Span{{Begin: at(5), End: at(6), Name: string(Pause)}}
+	}),
 	Entry("a completion that was billed twice", func(h *History, o *Outcome) {
 		o.Kind, o.Body, h.BillsKnown, h.Billed = Chat, chatText, true, 2
 	}, BilledOnce),
