replica: a machine that was suspended forgets the silence of members

Cause: the monotonic clock stands still in a suspension, so that a replica that wakes takes what its last leader told for recent, although others may have led meanwhile. Change: silences are forgotten with the other knowledge from before the suspension. Result: by reading, the suspension itself was not played; the package's tests of silences, freshness and missed ticks pass. Older builds: nothing changes between processes.

--- a/server/replica/freshness.go
+++ b/server/replica/freshness.go
@@ -74,16 +74,19 @@
 
 // dropAfterSuspension drops all points and rounds if the machine was suspended since the last call. The monotonic clock
 // did not advance during the suspension, so the points and rounds look newer than they are. A new clockEpoch invalidates
-// the clock readings in messages that are still in transit. dropAfterSuspension runs in the raft loop.
-func (f *freshness) dropAfterSuspension() {
+// the clock readings in messages that are still in transit. dropAfterSuspension runs in the raft loop and
+// reports whether there was a suspension.
+func (f *freshness) dropAfterSuspension() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.resumed() {
-		f.suspended = clock.SuspendedTime()
-		f.points = f.points[:0]
-		f.unconfirmedRounds = f.unconfirmedRounds[:0]
-		f.clockEpoch = rand.Uint64() | 1
+	if !f.resumed() {
+		return false
 	}
+	f.suspended = clock.SuspendedTime()
+	f.points = f.points[:0]
+	f.unconfirmedRounds = f.unconfirmedRounds[:0]
+	f.clockEpoch = rand.Uint64() | 1
+	return true
 }
 
 // resumed reports whether the machine was suspended since the last check of dropAfterSuspension. The caller holds f.mu.
--- a/server/replica/loop.go
+++ b/server/replica/loop.go
@@ -24,13 +24,13 @@
 		case <-r.stopping:
 			return
 		case task := <-r.tasks:
-			r.freshness.dropAfterSuspension()
+			r.dropAfterSuspension()
 			task()
 		case <-ticker.C:
-			r.freshness.dropAfterSuspension()
+			r.dropAfterSuspension()
 			r.tick()
 		case <-r.appliedSignal:
-			r.freshness.dropAfterSuspension()
+			r.dropAfterSuspension()
 		}
 		r.runQueuedTasks()
 		if !r.processReady() {
@@ -39,6 +39,13 @@
 	}
 }
 
+// dropAfterSuspension drops what was known of the others before the machine was suspended.
+func (r *Replica) dropAfterSuspension() {
+	if r.freshness.dropAfterSuspension() {
+		r.silences.forget()
+	}
+}
+
 // runQueuedTasks runs the queued tasks, at most maxTasksPerSync of them.
 func (r *Replica) runQueuedTasks() {
 	for range maxTasksPerSync {
