--- a/server/target/target.go
+++ b/server/target/target.go
@@ -35,7 +35,7 @@
 	path, _, _ := strings.Cut(raw, "?")
 	t := Target{raw: raw}
 	var err error
-	if t.routePath, err = decodeHarmless(path); err != nil {
+	if t.routePath, err = normalizePath(path); err != nil {
 		return Target{}, err
 	}
 	if hasDotSegment(t.routePath) {
@@ -77,8 +77,8 @@
 	return u
 }
 
-// decodeHarmless decodes the percent-encoded characters of a path that mean the same encoded or not.
-func decodeHarmless(path string) (string, error) {
+// normalizePath decodes the percent-encoded characters of a path that mean the same decoded.
+func normalizePath(path string) (string, error) {
 	if !strings.Contains(path, "%") {
 		return path, nil
 	}
@@ -95,7 +95,7 @@
 		if high < 0 || low < 0 {
 			return "", ErrInvalid.New("has a percent sign without two digits")
 		}
-		if c := byte(high<<4 | low); isHarmless(c) {
+		if c := byte(high<<4 | low); meansSameDecoded(c) {
 			out.WriteByte(c)
 		} else {
 			out.WriteString(path[i : i+3])
@@ -105,9 +105,9 @@
 	return out.String(), nil
 }
 
-// isHarmless reports whether a character means the same encoded or not: the unreserved ones, and the bytes of characters beyond ASCII, which
+// meansSameDecoded reports whether a percent-encoded character means the same decoded: the unreserved ones, and the bytes of characters beyond ASCII, which
 // may stand in a path only encoded.
-func isHarmless(c byte) bool {
+func meansSameDecoded(c byte) bool {
 	return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || strings.IndexByte("-._~", c) >= 0 || c >= 0x80
 }
 
