entry: tests change no published row of the fleet table

Change: they publish a changed copy. Result: the specs of overload control pass with the race detector.

--- a/server/entry/admission_test.go
+++ b/server/entry/admission_test.go
@@ -42,8 +42,7 @@
 	s.addServers("v1", b)
 	row := *s.table.ByService["orders"][0]
 	row.Capacity = 1
-	s.table.ByService["orders"][0] = &row
-	s.fleet.Publish(s.table)
+	s.setServers(catalogue.VersionRef{}, &row)
 	return s, func() []string {
 		mu.Lock()
 		defer mu.Unlock()
--- a/server/entry/brittle_test.go
+++ b/server/entry/brittle_test.go
@@ -48,8 +48,9 @@
 		server.limit.Store(3)
 		s = newRoutedHarness(route, newBackend("b1", server.handle))
 		s.table.Members = []control.Member{{Instance: "entry-1"}}
-		s.table.ByService["orders"][0].Capacity = server.slots
-		s.setServers(catalogue.VersionRef{}, s.table.ByService["orders"]...)
+		row := *s.table.ByService["orders"][0]
+		row.Capacity = server.slots
+		s.setServers(catalogue.VersionRef{}, &row)
 	})
 	// sendAtOnce sends requests at the same time, and returns how many were answered.
 	sendAtOnce := func() int {
