replica: a silent learner is removed after twice the time of a voter

Cause: with the shorter time for voters a learner whose disk is slow was removed and admitted anew more often. A learner counts in no majority, so that nothing depends on its removal. Change: 4 s of silence for learners, 2 s for voters above the group's size. Result: new cases of TestSurplusOverChangesOfTheLeader.

--- a/server/replica/config.go
+++ b/server/replica/config.go
@@ -62,8 +62,8 @@
 	// BootstrapWait is how long a replica with a GroupSize waits for join requests of replicas that are not in Members
 	// before it creates the group. Default 1.5 s.
 	BootstrapWait time.Duration
-	// UnresponsiveTimeout is how long a surplus voter or a learner must be unresponsive before it is removed from a
-	// group with a GroupSize, counted over changes of the leader. Default 2 s.
+	// UnresponsiveTimeout is how long a surplus voter must be unresponsive before it is removed from a group with a GroupSize, counted
+	// over changes of the leader. A learner is removed after twice that time. Default 2 s.
 	UnresponsiveTimeout time.Duration
 	// JoinAddresses returns further addresses to which join requests are sent. Default: none.
 	JoinAddresses func() []string
--- a/server/replica/silence.go
+++ b/server/replica/silence.go
@@ -122,9 +122,13 @@
 	})
 }
 
-// surplus returns the member that is to be removed: the one that has been silent for the longest time, and for timeout at least, among all
-// learners and, if the group has more voters than size, among the voters. A member that announced its stop counts as silent for timeout
-// longer. A member that this leader has not missed yet is not silent, whatever an earlier leader told.
+// learnerTimeouts is the time after which a silent learner is removed, in UnresponsiveTimeouts. A learner counts in no majority, and one
+// whose disk is slow would have to join anew.
+const learnerTimeouts = 2
+
+// surplus returns the member that is to be removed: the one that has been silent for the longest time among the voters that were silent for
+// timeout, if the group has more voters than size, and the learners that were silent for learnerTimeouts of it. A member that announced its
+// stop counts as silent for timeout longer. A member that this leader has not missed yet is not silent, whatever an earlier leader told.
 func (s *silences) surplus(now time.Time, members raft.Membership, size int, timeout time.Duration, contactWith func(raft.NodeID) contact) (raft.Member, bool) {
 	var longest raft.Member
 	var silentFor time.Duration
@@ -133,11 +137,14 @@
 		if m.Node == s.self || !silent || contactWith(m.Node).active || m.Voter && members.VoterCount() <= size {
 			continue
 		}
-		lasted := now.Sub(since)
+		lasted, needed := now.Sub(since), timeout
 		if _, announced := s.departed[m.Node]; announced {
 			lasted += timeout
 		}
-		if lasted >= timeout && lasted > silentFor {
+		if !m.Voter {
+			needed *= learnerTimeouts
+		}
+		if lasted >= needed && lasted > silentFor {
 			longest, silentFor = m, lasted
 		}
 	}
--- a/server/replica/silence_test.go
+++ b/server/replica/silence_test.go
@@ -35,6 +35,7 @@
 func TestSurplusOverChangesOfTheLeader(t *testing.T) {
 	const timeout = 2 * time.Second
 	six := voters("a", "b", "c", "d", "e", "gone")
+	withLearner := voters("a", "b", "c", "d", "e").With(raft.Member{Node: "gone", ID: "gone"})
 	began := time.Now()
 	at := func(d time.Duration) time.Time { return began.Add(d) }
 	told := func(age time.Duration) []raft.Silence { return []raft.Silence{{Node: "gone", Age: age}} }
@@ -80,6 +81,10 @@
 			s.learn(at(0), "b", told(time.Minute))
 			s.learn(at(100*time.Millisecond), "b", nil)
 		}, time.Second, 1600 * time.Millisecond, silent(600*time.Millisecond, false), six, ""},
+		{"a silent learner, not long enough", func(s *silences) { s.learn(at(0), "b", told(2500*time.Millisecond)) },
+			500 * time.Millisecond, 1100 * time.Millisecond, silent(600*time.Millisecond, false), withLearner, ""},
+		{"a silent learner", func(s *silences) { s.learn(at(0), "b", told(3*time.Second)) },
+			500 * time.Millisecond, 1100 * time.Millisecond, silent(600*time.Millisecond, false), withLearner, "gone"},
 		{"at the group's size", func(s *silences) { s.learn(at(0), "b", told(time.Minute)) },
 			time.Second, 1600 * time.Millisecond, silent(600*time.Millisecond, false), voters("a", "b", "c", "d", "gone"), ""},
 		{"announced to the leader before", func(s *silences) {
