relay: the test of a planned stop ends connections from before it

Cause: the test starts Stop in a goroutine and dials until a dial fails. A dial that comes before Stop succeeds, and its connection stayed open to the end of the test, so that Stop rightly waited for it. Change: such a connection is closed at once. The new test still fails if Stop takes further connections and if it does not wait.

--- a/server/relay/relay_test.go
+++ b/server/relay/relay_test.go
@@ -375,7 +375,11 @@
 			close(stopped)
 		}()
 		Eventually(func() error {
-			_, err := dial(cut, "s", s.address())
+			further, err := dial(cut, "s", s.address())
+			if err == nil {
+				// Accepted before the stop began, which would wait for it.
+				_ = further.Close()
+			}
 			return err
 		}).ShouldNot(Succeed())
 		_, err := io.WriteString(conn, "still")
