replica: schedules of a replacement beside a lost folder on slow disks

Nothing showed what slow disks do to a voter without a signal that is replaced while another data folder is lost. Change: TestLossesBesideAReplacementOnSlowDisks holds up the syncs of one to five replicas for 0.25 to 3.75 s, two to four times in each schedule. A second folder is lost once the voter without a signal has left; then the group must return to its size with all commands. The times of the group are a quarter of those in production, where syncs took 1 to 15 s.

--- a/server/replica/lost_leader_test.go
+++ b/server/replica/lost_leader_test.go
@@ -109,3 +109,69 @@
 		})
 	}
 }
+
+// Guards against slow disks that make a replacement beside a lost data folder wrong and not only slower: a group that a second lost folder
+// ends after the voter without a signal has left, a replica that never returns, and lost commands.
+func TestLossesBesideAReplacementOnSlowDisks(t *testing.T) {
+	for seed := *firstReplacementSeed; seed < *firstReplacementSeed+uint64(*replacementSeeds); seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			s := newReplacements(t, seed)
+			s.rnd = rand.New(rand.NewPCG(seed, 4))
+			s.proposeNext()
+			s.awaitHealed()
+			random := func(limit time.Duration) time.Duration { return time.Duration(s.rnd.Int64N(int64(limit))) }
+
+			next, gone := s.successor(), s.pick(1)[0]
+			successorAt := random(time.Second)
+			lossAt := random(successorAt + lossCatchUp)
+			var lost string
+			type event struct {
+				at time.Duration
+				do func()
+			}
+			events := []event{
+				{0, func() { s.kill(gone); delete(s.nodes, gone) }},
+				{successorAt, func() { s.add(next) }},
+				{lossAt, func() { lost = s.pick(1)[0]; s.loseFolder(lost) }},
+				{lossAt + 300*time.Millisecond + random(time.Second), func() { s.restart(lost) }},
+			}
+			for range 2 + s.rnd.IntN(3) {
+				// The times of this group are a quarter of those in production, where syncs took 1 to 15 s.
+				count, d := 1+s.rnd.IntN(5), 250*time.Millisecond+random(3500*time.Millisecond)
+				events = append(events, event{random(successorAt + lossCatchUp), func() {
+					ids := s.pick(min(count, len(s.nodes)))
+					t.Logf("syncs of %v take %s", ids, d)
+					for _, id := range ids {
+						s.slowDisk(id, d)
+					}
+				}})
+			}
+			slices.SortStableFunc(events, func(a, b event) int { return cmp.Compare(a.at, b.at) })
+			t.Logf("%s ends, successor after %s, a folder lost after %s", gone, successorAt, lossAt)
+			began := time.Now()
+			for _, e := range events {
+				time.Sleep(time.Until(began.Add(e.at)))
+				e.do()
+			}
+			s.eventually("the voter that is gone has left", func() bool {
+				for _, m := range s.leader().Status().Members {
+					if m.ID == gone {
+						return false
+					}
+				}
+				return true
+			})
+			t.Logf("%s left within %s", gone, time.Since(began))
+			second := s.pick(1)[0]
+			for second == lost {
+				second = s.pick(1)[0]
+			}
+			t.Logf("%s loses its data folder", second)
+			s.loseFolder(second)
+			s.proposeNext()
+			s.restart(second)
+			s.awaitHealed()
+			s.awaitSameCommands(s.proposed)
+		})
+	}
+}
--- a/server/replica/replacement_test.go
+++ b/server/replica/replacement_test.go
@@ -26,18 +26,23 @@
 	*cluster
 	rnd             *rand.Rand
 	added, proposed int
+	disksMu         sync.Mutex          // guards disks
+	disks           map[string]*faultFS // by replica id
 }
 
 // newReplacements starts a group of five. Each replica learns the addresses of all others that were ever started, as a control instance
 // does from the replicas that it reaches.
 func newReplacements(t *testing.T, seed uint64) *replacements {
-	s := &replacements{rnd: rand.New(rand.NewPCG(seed, 2))}
+	s := &replacements{rnd: rand.New(rand.NewPCG(seed, 2)), disks: map[string]*faultFS{}}
 	var mu sync.Mutex // guards addresses
 	var addresses []string
 	s.cluster = newClusterOn(t, newFaultNetwork(), 5, func(cfg *replica.Config) {
 		withGroupSize(5)(cfg)
 		// Shorter than most partitions, so that calls fail in them.
 		cfg.CallTimeout = 500 * time.Millisecond
+		s.disksMu.Lock()
+		withFaultFS(s.disks)(cfg)
+		s.disksMu.Unlock()
 		mu.Lock()
 		defer mu.Unlock()
 		addresses = append(addresses, cfg.Address)
@@ -107,6 +112,18 @@
 	s.nodes[id].folder = filepath.Join(s.t.TempDir(), id)
 }
 
+// slowDisk holds up the syncs of a replica for d, from when those in progress have ended.
+func (s *replacements) slowDisk(id string, d time.Duration) {
+	s.disksMu.Lock()
+	disk := s.disks[id]
+	s.disksMu.Unlock()
+	go func() {
+		disk.syncHang.Lock()
+		defer disk.syncHang.Unlock()
+		time.Sleep(d)
+	}()
+}
+
 // isVoter reports whether the data folder that the replica runs on is that of a voter.
 func (s *replacements) isVoter(id string) bool {
 	for _, m := range s.leader().Status().Members {
