--- a/api/catalogue/route.go
+++ b/api/catalogue/route.go
@@ -43,7 +43,8 @@
 	Rank int `json:"rank,omitempty"`
 	// Anonymous is true if requests need no workspace key.
 	Anonymous bool `json:"anonymous,omitempty"`
-	// Models lists the models that may answer, the smallest first. If it is empty, the caller names the model, if any.
+	// Models lists the models that may answer, the smallest first. If it is empty, the caller names the model, if any. If requests may be
+	// repeated, an answer of low confidence may be dropped for one of a larger model.
 	Models []string `json:"models,omitempty"`
 }
 
--- a/server/entry/models_test.go
+++ b/server/entry/models_test.go
@@ -81,6 +81,14 @@
 		Entry("an answer without confidence is delivered", nil, "", 100.0, "small", 1, 0),
 		Entry("one of low confidence is delivered when no attempt is left", func(r *catalogue.Route) { r.MaxAttempts = 1 }, "10", 100.0, "small", 1, 0),
 		Entry("one of low confidence is delivered when the retry budget is used up", nil, "10", 0.5, "small", 1, 0),
+		// Guards against a request that may run once only and runs twice, as the answer of the first run was dropped.
+		Entry("one of low confidence is delivered when the request may not be repeated", func(r *catalogue.Route) {
+			r.Kind, r.Resumable = catalogue.KindNonIdempotent, false
+		}, "10", 100.0, "small", 1, 0),
+		Entry("one of low confidence is delivered when the stream may not be resumed", func(r *catalogue.Route) { r.Resumable = false }, "10", 100.0, "small", 1, 0),
+		Entry("one of low confidence is dropped when the request may be repeated", func(r *catalogue.Route) {
+			r.Kind, r.Resumable = catalogue.KindIdempotent, false
+		}, "10", 100.0, "large", 1, 1),
 	)
 
 	// serveModels answers with the name of the model, after a delay for the large one. Every model but the large one has a low confidence.
--- a/server/entry/routed_model.go
+++ b/server/entry/routed_model.go
@@ -20,13 +20,13 @@
 const lowConfidenceShare = 0.92
 
 // chooseLargerModel returns the model to repeat the request with when the confidence of the answer is too low, or an empty
-// string when the answer is to be delivered. It never replaces an answer that the caller already has a part of. It takes the
-// retry from the retry budget.
+// string when the answer is to be delivered. It never replaces an answer that the caller already has a part of, or one to a request that
+// may run once only: the request ran for the answer that would be dropped. It takes the retry from the retry budget.
 func (h *Handler) chooseLargerModel(rq *request, confidence int) string {
 	call := rq.routed
 	models := call.route.Models
 	if confidence < 0 || confidence >= h.cfg.SureConfidence || call.answerStarted || len(models) == 0 || call.model == models[len(models)-1] ||
-		rq.countedAttempts >= rq.maxAttempts() {
+		!call.route.Repeatable() || rq.countedAttempts >= rq.maxAttempts() {
 		return ""
 	}
 	model, outcome := h.decideLargerModel(rq, confidence)
