fleet: a server that left does not return by a late announcement

Seen: an announcement that the network held up arrived 8.7 s after the server's deregistration was confirmed. Cause: start, sequence and departure were forgotten with the row, 8 s after the last announcement, and the replicated record with it. Change: package fleet keeps them for 90 s after the row was removed, for 4,000 starts at most. The record of the row becomes that of the departure, which a new leader takes over. A deregistration without a row is recorded before it is acknowledged, and ends the row of an earlier start.

--- a/server/fleet/contract.go
+++ b/server/fleet/contract.go
@@ -25,9 +25,9 @@
 const (
 	// AnnouncementTTL is how long a backend server stays in the table without an announcement.
 	AnnouncementTTL = 8 * time.Second
-	// DepartureTTL is how long the deregistration of a start is kept that has not announced itself. Announcements may arrive seconds
-	// late.
-	DepartureTTL = 30 * time.Second
+	// DepartureTTL is how long a start is kept that has no row any more, or deregistered before it had one. It is longer than any
+	// announcement was seen to be late: those that a partition holds up are late by its length and some seconds.
+	DepartureTTL = 90 * time.Second
 	// SilentAfter is the age of the last announcement at which a backend server counts as silent. A server that announces
 	// itself about once a second has then missed three announcements.
 	SilentAfter = 4 * time.Second
@@ -42,6 +42,9 @@
 
 	// maxServers limits the memory of the table to about 10 MB. It is 20 times the largest fleet of the design.
 	maxServers = 12_000
+	// maxDepartures limits the memory for starts without a row to about 0.5 MB. 600 servers that restart each minute under new ids need
+	// 900. It leaves two thirds of controlstate.MaxServers to the rows.
+	maxDepartures = 4000
 	// maxTombstones limits the memory for removed rows. A reader that missed more removals receives the whole table.
 	maxTombstones = 1024
 	// maxCount limits the capacities and loads in an announcement, maxCold the time for which a backend server stays cold, and
--- a/server/fleet/record.go
+++ b/server/fleet/record.go
@@ -37,7 +37,7 @@
 // Recorder stores the identity of backend servers in the replicated state while this replica leads. Without it, the table
 // of a control group that lost power would be empty until each backend server has announced itself again, and a new leader
 // would return a server to service whose departure the last one acknowledged. Only backend servers that announce their cold
-// time are recorded: for the others, the phase is recorded.
+// time are recorded: for the others, the phase is recorded. The record of a start without a row is kept as long as its departure.
 type Recorder struct {
 	table    *Table
 	state    RecordedState
@@ -73,15 +73,20 @@
 			case <-time.After(recordDelay):
 			}
 		}
-		servers := r.table.Snapshot(time.Now()).Servers
-		silent = r.logSilenceChanges(silent, servers)
-		if change := diffRecordedServers(r.state.Servers(), servers); change != nil {
-			r.commit(ctx, change)
-		}
+		now := time.Now()
+		silent = r.logSilenceChanges(silent, r.table.Snapshot(now).Servers)
+		r.record(ctx, now)
 		r.endRound()
 	}
 }
 
+// record commits what has changed since the last commit.
+func (r *Recorder) record(ctx context.Context, now time.Time) {
+	if change := diffRecordedServers(r.state.Servers(), r.table.Snapshot(now).Servers, r.table.departed(now)); change != nil {
+		r.commit(ctx, change)
+	}
+}
+
 func (r *Recorder) endRound() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -96,7 +101,8 @@
 }
 
 // AwaitRecorded waits until the given backend servers are recorded as the table has them now. It reports whether it had to
-// wait, and returns the error of ctx if that ends first. Servers that are not in the table, or are never recorded, are skipped.
+// wait, and returns the error of ctx if that ends first. Servers that are not in the table and have not deregistered, or are never
+// recorded, are skipped.
 func (r *Recorder) AwaitRecorded(ctx context.Context, ids []string) (waited bool, err error) {
 	for {
 		ended := r.nextRoundEnd()
@@ -119,10 +125,14 @@
 // isUnrecorded reports whether the table has a change of the backend server that is not recorded.
 func (r *Recorder) isUnrecorded(id string) bool {
 	b, known := r.table.Server(time.Now(), id)
-	if !known || !b.StatesCold {
+	recorded, ok := r.state.Server(id)
+	if !known {
+		left, deregistered := r.table.deregistration(time.Now(), id)
+		return deregistered && (!ok || !recorded.Deregistered || !left.isOf(&recorded.Announcement))
+	}
+	if !b.StatesCold {
 		return false
 	}
-	recorded, ok := r.state.Server(id)
 	return !ok || !sameRecord(recorded, recordOf(&b))
 }
 
@@ -149,21 +159,27 @@
 		return
 	}
 	for _, a := range change.Put {
+		if a.Address == "" {
+			r.log.Info("server_left", "backend_server", a.ID, "started", a.Started, "sequence", a.Sequence, "deregistered", a.Deregistered)
+			continue
+		}
 		r.log.Info("server_recorded", "backend_server", a.ID, "service", a.Service, "zone", a.AvailabilityZone, "address", a.Address,
 			"software", a.SoftwareVersion, "started", a.Started, "leaving", a.Leaving, "deregistered", a.Deregistered)
 	}
 	for _, id := range change.Remove {
-		r.log.Info("server_forgotten", "backend_server", id, "silent", AnnouncementTTL)
+		r.log.Info("server_forgotten", "backend_server", id)
 	}
 }
 
-// diffRecordedServers returns the command that updates the record to match the table, or nil if they match.
-func diffRecordedServers(recorded []controlstate.RecordedServer, servers map[string]*control.BackendServer) *controlstate.RecordServers {
+// diffRecordedServers returns the command that updates the record to match the table, or nil if they match. The record of a server
+// without a row becomes that of its departure; a server that never had a record gets that one only if it deregistered.
+func diffRecordedServers(recorded []controlstate.RecordedServer, servers map[string]*control.BackendServer, departed departures) *controlstate.RecordServers {
 	change := &controlstate.RecordServers{}
 	recordedByID := make(map[string]controlstate.RecordedServer, len(recorded))
 	for _, a := range recorded {
 		recordedByID[a.ID] = a
-		if servers[a.ID] == nil {
+		_, left := departed[a.ID]
+		if b := servers[a.ID]; b == nil && !left || b != nil && !b.StatesCold {
 			change.Remove = append(change.Remove, a.ID)
 		}
 	}
@@ -173,6 +189,12 @@
 			change.Put = append(change.Put, a)
 		}
 	}
+	for id, d := range departed {
+		a := d.recordOf(id)
+		if old, ok := recordedByID[id]; (ok || d.deregistered) && (!ok || !sameRecord(old, a)) && len(change.Put) < maxPutsPerCommand {
+			change.Put = append(change.Put, a)
+		}
+	}
 	if len(change.Put)+len(change.Remove) == 0 {
 		return nil
 	}
@@ -205,10 +227,21 @@
 			r.minSequence = s.Sequence
 		}
 		switch {
+		case s.Address == "":
+			d := departureOfRecord(s)
+			ended := r != nil && r.server.Started > 0 && r.server.Started < s.Started || r != nil && s.Deregistered && d.isOf(&r.server.Announcement)
+			if ended {
+				t.removeRow(now, s.ID)
+			}
+			t.departures.store(now, s.ID, d)
+			if !ended {
+				continue
+			}
 		case validate(now, s.Announcement) != nil:
 			continue
 		case r == nil || s.Started > r.server.Started:
-			if t.removeEarlierAtAddress(s.Announcement) != "" {
+			if t.removeEarlierAtAddress(now, s.Announcement) != "" {
+				t.departures.store(now, s.ID, departureOfRecord(s))
 				continue
 			}
 			if r == nil {
--- a/server/fleet/start_announcement_test.go
+++ b/server/fleet/start_announcement_test.go
@@ -145,6 +145,42 @@
 		Expect(row("s").Leaving).To(BeFalse())
 	})
 
+	// Guards against orders to a backend server that left, because an announcement that it sent before its departure arrives after its row
+	// has expired.
+	DescribeTable("do not return by announcements that arrive after their row has expired", func(leave func()) {
+		Expect(table.Announce(now, announcementWithStart("s", 1, 5))).To(Succeed())
+		leave()
+		later := now.Add(fleet.AnnouncementTTL + time.Second)
+		Expect(table.Snapshot(later).Servers).To(BeEmpty())
+		Expect(fleet.ErrStaleBoot.Has(table.Announce(later, announcementWithStart("s", 1, 4)))).To(BeTrue())
+		Expect(fleet.ErrStaleBoot.Has(table.Announce(later, announcementWithStart("s", 0, 4)))).To(BeFalse(), "a start that is not known")
+	},
+		Entry("after a deregistration", func() { table.MarkLeaving(now, control.Leave{ID: "s", Started: 1}) }),
+		Entry("after they announced that they leave", func() {
+			Expect(table.Announce(now, announcementWithStart("s", 1, 6, setLeaving))).To(Succeed())
+		}),
+		Entry("after they ended without a signal", func() {}),
+	)
+
+	// Guards against a backend server that is kept out of service although it goes on: its announcements were held up, or it reported that
+	// it leaves and then that it is ready.
+	It("return after their row has expired by announcements that they sent afterwards", func() {
+		Expect(table.Announce(now, announcementWithStart("s", 1, 5, setLeaving))).To(Succeed())
+		now := now.Add(fleet.AnnouncementTTL + time.Second)
+		Expect(table.Announce(now, announcementWithStart("s", 1, 6))).To(Succeed())
+		Expect(table.Snapshot(now).Servers["s"].Phase).To(Equal(control.PhaseInService))
+		now = now.Add(fleet.AnnouncementTTL + time.Second)
+		Expect(table.Announce(now, announcementWithStart("s", 2, 1))).To(Succeed())
+		Expect(table.Snapshot(now).Servers["s"].Phase).To(Equal(control.PhaseInService))
+	})
+
+	// Guards against a sound backend server that another program keeps out of service.
+	It("stay in service after a deregistration of a start in the far future", func() {
+		table.MarkLeaving(now, control.Leave{ID: "s", Started: now.Add(24 * time.Hour).UnixMilli()})
+		Expect(table.Announce(now, announcementWithStart("s", 1, 1))).To(Succeed())
+		Expect(row("s").Phase).To(Equal(control.PhaseInService))
+	})
+
 	It("ignore a deregistration of an earlier start", func() {
 		Expect(table.Announce(now, announcementWithStart("s", 2, 1))).To(Succeed())
 		table.MarkLeaving(now, control.Leave{ID: "s", Started: 1})
--- a/server/fleet/table.go
+++ b/server/fleet/table.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -32,11 +31,10 @@
 	members        map[string]*member
 	membersVersion uint64
 	// leftMembers and trimmedMembersVersion are for entry instances what tombstones and trimmedVersion are for rows.
-	leftMembers []tombstone
-	// departures holds the deregistrations of starts that had not announced themselves yet, by server id. A late announcement
-	// of such a start must not put it into service.
-	departures            map[string]departure
+	leftMembers           []tombstone
 	trimmedMembersVersion uint64
+	// departures keeps late announcements of starts without a row out of service.
+	departures departures
 	// partRows is the largest number of rows in one part of a delta. fullParts holds the parts of the whole table that were made last.
 	partRows  int
 	fullParts partCache
@@ -70,12 +68,6 @@
 	changedIn, loadIn, hashesIn uint64
 }
 
-// departure is the deregistration of a start.
-type departure struct {
-	started   int64
-	expiresAt time.Time
-}
-
 // tombstone records a removed row or member, so that the removal is sent to readers of an older version.
 type tombstone struct {
 	id      string
@@ -91,7 +83,7 @@
 
 // NewTable returns an empty table without an epoch.
 func NewTable() *Table {
-	return &Table{rows: map[string]*row{}, departures: map[string]departure{}, members: map[string]*member{}, partRows: maxPartRows}
+	return &Table{rows: map[string]*row{}, departures: departures{}, members: map[string]*member{}, partRows: maxPartRows}
 }
 
 // epochPrefix is the prefix of the epochs that Epoch returns.
@@ -139,13 +131,16 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.removeExpired(now)
-	if replacedBy := t.removeEarlierAtAddress(a); replacedBy != "" {
+	if replacedBy := t.removeEarlierAtAddress(now, a); replacedBy != "" {
 		return ErrStaleBoot.New("server=%s boot=%s address=%s now belongs to %s", a.ID, a.Boot, a.Address, replacedBy)
 	}
 	r := t.rows[a.ID]
+	left, hasLeft := t.departures.find(now, a.ID)
 	switch {
 	case r != nil && isLate(r, &a):
 		return ErrStaleBoot.New("server=%s boot=%s sequence=%d current=%s/%d", a.ID, a.Boot, a.Sequence, r.server.Boot, r.server.Sequence)
+	case r == nil && hasLeft && left.isLate(&a):
+		return ErrStaleBoot.New("server=%s boot=%s sequence=%d left=%s/%d", a.ID, a.Boot, a.Sequence, left.boot, left.sequence)
 	case r == nil && len(t.rows) >= maxServers:
 		return ErrTableFull.New("server=%s limit=%d", a.ID, maxServers)
 	case r == nil:
@@ -156,7 +151,7 @@
 	default:
 		t.startAgain(r, a)
 	}
-	if d, ok := t.departures[a.ID]; ok && d.started == a.Started {
+	if hasLeft && left.deregistered && left.isOf(&a) {
 		r.server.Deregistered = true
 	}
 	t.applyAnnouncement(now, r, a)
@@ -181,7 +176,7 @@
 
 // removeEarlierAtAddress removes the other backend servers at the announced address that started before this one: they no
 // longer run. It returns the id of a server at the address that started later, or "".
-func (t *Table) removeEarlierAtAddress(a control.Announcement) string {
+func (t *Table) removeEarlierAtAddress(now time.Time, a control.Announcement) string {
 	if a.Started == 0 {
 		return ""
 	}
@@ -191,7 +186,7 @@
 		case r.server.Started > a.Started:
 			return id
 		default:
-			t.removeRow(id)
+			t.removeRow(now, id)
 		}
 	}
 	return ""
@@ -204,7 +199,14 @@
 	t.removeExpired(now)
 	r := t.rows[l.ID]
 	if l.Started > 0 && (r == nil || l.Started > r.server.Started) {
-		t.storeDeparture(now, l)
+		if len(l.ID) > maxTextBytes || l.Started > now.Add(maxStartAhead).UnixMilli() {
+			return
+		}
+		if r != nil {
+			// The start of the row has ended, as this one came after it.
+			t.removeRow(now, l.ID)
+		}
+		t.departures.store(now, l.ID, departure{started: l.Started, deregistered: true})
 		return
 	}
 	if r == nil || l.Started > 0 && l.Started != r.server.Started {
@@ -213,13 +215,6 @@
 	t.markDeregistered(r)
 }
 
-func (t *Table) storeDeparture(now time.Time, l control.Leave) {
-	maps.DeleteFunc(t.departures, func(_ string, d departure) bool { return now.After(d.expiresAt) })
-	if len(t.departures) < maxServers && len(l.ID) <= maxTextBytes {
-		t.departures[l.ID] = departure{started: l.Started, expiresAt: now.Add(DepartureTTL)}
-	}
-}
-
 func (t *Table) markDeregistered(r *row) {
 	r.server.Deregistered, r.server.Leaving, r.server.Phase, r.server.Reason = true, true, control.PhaseLeaving, "deregistered"
 	t.version++
@@ -419,7 +414,7 @@
 		return
 	}
 	if phase == control.PhaseGone {
-		t.removeRow(id)
+		t.removeRow(now, id)
 		return
 	}
 	if r.server.Phase == phase && r.server.Limit == limit && r.server.Reason == reason {
@@ -433,7 +428,8 @@
 // markRow marks the row, its load and its prefix hashes as changed in the current table version.
 func (t *Table) markRow(r *row) { r.changedIn, r.loadIn, r.hashesIn = t.version, t.version, t.version }
 
-func (t *Table) removeRow(id string) {
+func (t *Table) removeRow(now time.Time, id string) {
+	t.departures.store(now, id, departureOf(t.rows[id]))
 	delete(t.rows, id)
 	t.version++
 	t.nonLoadVersion = t.version
@@ -457,7 +453,7 @@
 	t.nextExpiry = now.Add(MemberTTL)
 	for id, r := range t.rows {
 		if !now.Before(r.expiresAt) {
-			t.removeRow(id)
+			t.removeRow(now, id)
 			continue
 		}
 		t.scheduleExpiry(r.expiresAt)
