relay: Close waits for connections that are being accepted

Seen: the race detector reported Close and Serve in one whole run of the tests (package entry, at the end of a spec). Cause: an accepted connection was tracked under the lock and counted after it, so that Close could find no connection to wait for and return while the goroutine of one began. Nothing is lost for callers, as the connection is closed either way. Change: a connection is counted under the lock in which Close sets closed. The server of package peer does not wait for its connections; entry's background tasks have no lock and were not looked at further.

--- a/server/relay/server.go
+++ b/server/relay/server.go
@@ -140,12 +140,13 @@
 }
 
 func (s *Server) accept(conn net.Conn) {
-	if !s.trackConn(conn) {
+	if !s.countConn(conn) {
 		_ = conn.Close()
 		return
 	}
 	s.addUnproven(conn)
-	s.connections.Go(func() {
+	go func() {
+		defer s.connections.Done()
 		defer s.closeConn(conn)
 		if !s.authenticate(conn) {
 			return
@@ -154,7 +155,20 @@
 		if s.accepted.Add(1) <= int64(s.cfg.MaxConnections+extraConnections) {
 			s.serve(conn)
 		}
-	})
+	}()
+}
+
+// countConn tracks an accepted connection, for which connections.Done must be called, unless the server is closed. It counts the
+// connection under the lock, so that Close waits for each one that came before it.
+func (s *Server) countConn(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.open[conn] = struct{}{}
+	s.connections.Add(1)
+	return true
 }
 
 // addUnproven is called in the order of acceptance.
